Add the design page, the toolchain and the shared core

Cause: a new project. The design page gives modules, interfaces, state, failures and targets; the core gives results, settings, logs, metrics, time line, HTTP over Beast, JSON-RPC over libjsonrpccpp and the daemon base.

--- /dev/null
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -0,0 +1,87 @@
+#pragma once
+// HTTP/1.1 client on one io_context, with kept-alive connections by address.
+//
+//   auto answer = co_await client.fetch(where, request, {.timeout = milliseconds{500}});
+//   if (!answer) ...  // connect_failed: no byte was sent; connection_lost, transport_timeout: it may have
+//   run
+//
+//   auto opened = co_await client.open(where, request, {});
+//   while (true) {
+//       auto piece = co_await opened.value()->read();
+//       if (!piece) break;                  // cut: the end marker or length was not reached
+//       if (!piece.value()) break;          // whole
+//   }
+//
+// An answer without a length or chunked coding is refused as malformed: its end could not be told from a cut.
+
+#include "hibiscuswall/core/address.hpp"
+#include "hibiscuswall/core/result.hpp"
+#include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/http/http_message.hpp"
+#include "hibiscuswall/observe/timeline.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hibiscuswall {
+
+namespace asio = boost::asio;
+
+struct http_call_options {
+    milliseconds connect_timeout{1'000}; // TCP connection
+    milliseconds timeout{5'000};         // whole answer for fetch(); header and each piece for open()
+    std::size_t body_limit = 64U << 20U; // larger answers fail as response_malformed
+    bool fresh_connection = false;       // for non-idempotent calls: a stale kept-alive connection would hide
+                                         // whether the request was received
+};
+
+// An answer whose body is read piece by piece. Destroying it before the end closes the connection.
+class http_stream {
+public:
+    http_stream() = default;
+    http_stream(http_stream const&) = delete;
+    auto operator=(http_stream const&) -> http_stream& = delete;
+    virtual ~http_stream() = default;
+
+    [[nodiscard]] virtual auto status() const -> int = 0;
+    [[nodiscard]] virtual auto headers() const -> http_headers const& = 0;
+
+    // Next piece of the body; no value at the whole end; an error when the answer was cut or late.
+    virtual auto read() -> asio::awaitable<result<std::optional<std::string>>> = 0;
+
+    // Reads the rest as one text.
+    virtual auto read_all() -> asio::awaitable<result<std::string>> = 0;
+
+    // Closes the connection; a pending read() fails.
+    virtual auto cancel() -> void = 0;
+};
+
+class http_client {
+public:
+    // events may be null; else its counter travels in the header Hw-Clock.
+    http_client(asio::io_context& io, timeline* events);
+    ~http_client();
+    http_client(http_client const&) = delete;
+    auto operator=(http_client const&) -> http_client& = delete;
+
+    auto fetch(address const& where, http_request request, http_call_options options = {})
+        -> asio::awaitable<result<http_response>>;
+
+    auto open(address const& where, http_request request, http_call_options options = {})
+        -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
+
+    // Bytes sent and received since the start, for the cost of control.
+    [[nodiscard]] auto bytes_sent() const -> std::size_t;
+    [[nodiscard]] auto bytes_received() const -> std::size_t;
+
+    struct state;
+
+private:
+    std::shared_ptr<state> state_;
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/include/hibiscuswall/platform/key_value_client.hpp
@@ -0,0 +1,62 @@
+#pragma once
+// The platform's key-value service: compare-and-swap, leases and watches (docs/platform.md).
+//
+//   auto kv = key_value_client{client, addresses, milliseconds{1000}};
+//   auto root = co_await kv.find("config/root");             // value() is empty when the key is absent
+//   auto swapped = co_await kv.put("config/root", text, root.value()->revision);
+//   // errors: revision_conflict          another write came first
+//   //         store_unavailable          no byte was sent: nothing was written
+//   //         write_outcome_unknown      sent, but the answer was lost: read back before saying anything
+//
+// Addresses are tried in order, from the last one that answered; a write whose outcome is unknown is never
+// repeated.
+
+#include "hibiscuswall/core/result.hpp"
+#include "hibiscuswall/http/http_client.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hibiscuswall {
+
+struct key_value_entry {
+    std::string value;          // bytes, at most 1 MB
+    std::uint64_t revision = 0; // store revision of the key's last change
+};
+
+struct key_value_listing {
+    std::string key;
+    std::uint64_t revision = 0;
+};
+
+class key_value_client {
+public:
+    key_value_client(http_client& client, std::vector<address> where, milliseconds timeout);
+
+    auto find(std::string key) -> asio::awaitable<result<std::optional<key_value_entry>>>;
+
+    // expect: revision the key must have, 0: must not exist, none: unconditional. Gives the new revision.
+    auto put(std::string key, std::string value, std::optional<std::uint64_t> expect)
+        -> asio::awaitable<result<std::uint64_t>>;
+    auto erase(std::string key, std::optional<std::uint64_t> expect) -> asio::awaitable<result<void>>;
+
+    auto list(std::string prefix) -> asio::awaitable<result<std::vector<key_value_listing>>>;
+
+    // Waits until the key's revision exceeds after; no value when that did not happen within wait.
+    auto watch(std::string key, std::uint64_t after, milliseconds wait)
+        -> asio::awaitable<result<std::optional<key_value_entry>>>;
+
+private:
+    auto ask(http_request request, milliseconds timeout, bool is_write)
+        -> asio::awaitable<result<http_response>>;
+
+    http_client& client_;
+    std::vector<address> where_;
+    milliseconds timeout_;
+    std::size_t preferred_ = 0; // index of the last address that answered
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/daemon/daemon_base.cpp
@@ -0,0 +1,126 @@
+#include "hibiscuswall/daemon/daemon_base.hpp"
+
+#include "hibiscuswall/daemon/daemon_options.hpp"
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto timeline_capacity = std::size_t{4096}; // events; the oldest are overwritten
+
+} // namespace
+
+struct daemon_base::state {
+    asio::io_context io{1};
+    timeline events;
+    metrics measures;
+    random_source random;
+    http_client client;
+    rpc_dispatcher rpc;
+    http_router control;
+    process_context context;
+    std::unique_ptr<http_server> server;
+    std::vector<std::function<bool()>> ready_checks;
+    std::vector<stop_step> stop_steps;
+    bool stopping = false;
+
+    state(member self, std::uint64_t seed)
+        : events{self.name, timeline_capacity}, random{seed}, client{io, &events},
+          context{io, std::move(self), client, rpc, control, events, measures, random}
+    {
+    }
+
+    [[nodiscard]] auto ready() const -> bool
+    {
+        return !stopping && std::all_of(ready_checks.begin(), ready_checks.end(),
+                                        [](auto const& check) { return check(); });
+    }
+
+    auto add_routes() -> void;
+    auto stop_on_signal() -> asio::awaitable<void>;
+};
+
+auto daemon_base::state::add_routes() -> void
+{
+    rpc.serve(control);
+    control.add("GET", "/healthz",
+                [](http_request const& /*request*/, http_responder& out) -> asio::awaitable<void> {
+                    co_await out.send({200, {}, "ok\n"});
+                });
+    control.add("GET", "/readyz",
+                [this](http_request const& /*request*/, http_responder& out) -> asio::awaitable<void> {
+                    auto const is_ready = ready();
+                    co_await out.send({is_ready ? 200 : 503, {}, is_ready ? "ready\n" : "not ready\n"});
+                });
+    control.add("GET", "/metrics",
+                [this](http_request const& /*request*/, http_responder& out) -> asio::awaitable<void> {
+                    measures.set("control_bytes_sent", {}, static_cast<double>(client.bytes_sent()));
+                    measures.set("control_bytes_received", {}, static_cast<double>(client.bytes_received()));
+                    auto page = http_response{200, {}, measures.text()};
+                    page.headers.set("Content-Type", "text/plain; version=0.0.4");
+                    co_await out.send(std::move(page));
+                });
+    control.add("GET", "/timeline",
+                [this](http_request const& /*request*/, http_responder& out) -> asio::awaitable<void> {
+                    co_await out.send(json_response(200, events.json()));
+                });
+}
+
+auto daemon_base::state::stop_on_signal() -> asio::awaitable<void>
+{
+    auto signals = asio::signal_set{io, SIGTERM, SIGINT};
+    co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+    stopping = true;
+    log_event(log_level::info, "stop_begun", {});
+    events.record("stop_begun", {});
+    for (auto& step : stop_steps)
+        co_await step();
+    if (server) server->stop_accepting();
+    log_event(log_level::info, "stop_finished", {});
+    io.stop();
+}
+
+daemon_base::daemon_base(member self, std::uint64_t seed)
+    : state_{std::make_unique<state>(std::move(self), seed)}
+{
+    state_->add_routes();
+}
+
+daemon_base::~daemon_base() = default;
+
+auto daemon_base::context() -> process_context& { return state_->context; }
+
+auto daemon_base::listen_control(address const& where, http_server_limits limits) -> result<void>
+{
+    state_->server = std::make_unique<http_server>(state_->io, state_->control, &state_->events, limits);
+    return state_->server->listen(where);
+}
+
+auto daemon_base::control_server() -> http_server& { return *state_->server; }
+auto daemon_base::ready_when(std::function<bool()> check) -> void
+{
+    state_->ready_checks.push_back(std::move(check));
+}
+auto daemon_base::stopping() const -> bool { return state_->stopping; }
+auto daemon_base::on_stop(stop_step step) -> void { state_->stop_steps.push_back(std::move(step)); }
+
+auto daemon_base::run() -> int
+{
+    asio::co_spawn(state_->io, state_->stop_on_signal(), asio::detached);
+    auto const& self = state_->context.self;
+    log_event(log_level::info, "started", {{"region", self.region}, {"failure_domain", self.failure_domain}});
+    state_->events.record("started", {{"incarnation", std::to_string(self.incarnation)}});
+    state_->io.run();
+    return exit_success;
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,279 @@
+#include "hibiscuswall/http/http_client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <map>
+#include <vector>
+
+namespace hibiscuswall {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto awaitable_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto idle_connections_per_address = std::size_t{16};
+constexpr auto idle_connection_lifetime = seconds{30}; // below the server's idle timeout of 60 s
+constexpr auto piece_bytes = std::size_t{64 * 1024};
+
+struct connection {
+    explicit connection(asio::io_context& io) : stream{io} {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    time_point idle_since;
+    bool reused = false;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+// Whether the other side closed a kept-alive connection or left bytes in it.
+auto is_stale(connection& held) -> bool
+{
+    auto byte = char{};
+    auto code = boost::system::error_code{};
+    held.stream.socket().non_blocking(true, code);
+    held.stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code != asio::error::would_block && code != asio::error::try_again;
+}
+
+auto transport_error(boost::system::error_code code, address const& where) -> error
+{
+    auto const what = where.text() + ": " + code.message();
+    if (code == beast::error::timeout) return fail(result_code::transport_timeout, what);
+    if (code.category() == make_error_code(http::error::bad_method).category() &&
+        code != http::error::end_of_stream && code != http::error::partial_message)
+        return fail(result_code::response_malformed, what);
+    return fail(result_code::connection_lost, what);
+}
+
+auto to_message(http_request&& request, address const& where, timeline* events)
+    -> http::request<http::string_body>
+{
+    auto message = http::request<http::string_body>{};
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, where.text());
+    for (auto const& header : request.headers.all())
+        message.set(header.name, header.value);
+    if (events != nullptr) message.set("Hw-Clock", std::to_string(events->tick()));
+    message.body() = std::move(request.body);
+    message.erase(http::field::content_length);
+    message.erase(http::field::transfer_encoding);
+    message.keep_alive(true);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+struct http_client::state : std::enable_shared_from_this<state> {
+    asio::io_context& io;
+    timeline* events = nullptr;
+    std::map<address, std::vector<connection_ptr>> idle;
+    std::size_t sent = 0;
+    std::size_t received = 0;
+
+    state(asio::io_context& context, timeline* line) : io{context}, events{line} {}
+
+    auto take(address const& where, time_point now) -> connection_ptr
+    {
+        auto& list = idle[where];
+        while (!list.empty()) {
+            auto held = std::move(list.back());
+            list.pop_back();
+            if (now - held->idle_since > idle_connection_lifetime || is_stale(*held)) continue;
+            held->reused = true;
+            return held;
+        }
+        return nullptr;
+    }
+
+    auto give_back(address const& where, connection_ptr held, time_point now) -> void
+    {
+        auto& list = idle[where];
+        if (list.size() >= idle_connections_per_address || held->buffer.size() > 0) return;
+        held->stream.expires_never();
+        held->idle_since = now;
+        list.push_back(std::move(held));
+    }
+
+    auto connect(address const& where, milliseconds timeout) -> asio::awaitable<result<connection_ptr>>
+    {
+        auto fresh = std::make_unique<connection>(io);
+        auto const target = tcp::endpoint{asio::ip::make_address(where.ip), where.port};
+        fresh->stream.expires_after(timeout);
+        auto [code] = co_await fresh->stream.async_connect(target, awaitable_tuple);
+        if (code) co_return fail(result_code::connect_failed, where.text() + ": " + code.message());
+        auto ignored = boost::system::error_code{};
+        fresh->stream.socket().set_option(tcp::no_delay{true}, ignored);
+        co_return fresh;
+    }
+
+    auto exchange(address where, http_request request, http_call_options options,
+                  std::optional<time_point> deadline)
+        -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
+};
+
+namespace {
+
+class response_stream final : public http_stream {
+public:
+    response_stream(std::shared_ptr<http_client::state> client, address where, connection_ptr held,
+                    http_call_options options, std::optional<time_point> deadline)
+        : client_{std::move(client)}, where_{std::move(where)},
+          connection_{std::move(held)}, options_{options}, deadline_{deadline}
+    {
+        parser_.body_limit(options.body_limit);
+        parser_.header_limit(32 * 1024);
+    }
+
+    auto read_header() -> asio::awaitable<boost::system::error_code>
+    {
+        set_expiry();
+        auto [code, size] = co_await http::async_read_header(connection_->stream, connection_->buffer,
+                                                             parser_, awaitable_tuple);
+        client_->received += size;
+        if (code) co_return code;
+        for (auto const& field : parser_.get())
+            headers_.set(std::string_view{field.name_string()}, std::string_view{field.value()});
+        if (client_->events != nullptr && headers_.contains("Hw-Clock"))
+            client_->events->observe(static_cast<std::uint64_t>(headers_.number("Hw-Clock", 0)));
+        if (!parser_.is_done() && parser_.need_eof())
+            co_return make_error_code(http::error::bad_content_length);
+        co_return code;
+    }
+
+    [[nodiscard]] auto status() const -> int override { return static_cast<int>(parser_.get().result_int()); }
+    [[nodiscard]] auto headers() const -> http_headers const& override { return headers_; }
+
+    auto read() -> asio::awaitable<result<std::optional<std::string>>> override
+    {
+        while (true) {
+            if (connection_ == nullptr) co_return std::optional<std::string>{};
+            if (parser_.is_done()) {
+                finish();
+                co_return std::optional<std::string>{};
+            }
+            auto piece = std::string(piece_bytes, '\0');
+            parser_.get().body().data = piece.data();
+            parser_.get().body().size = piece.size();
+            set_expiry();
+            auto [code, size] = co_await http::async_read_some(connection_->stream, connection_->buffer,
+                                                               parser_, awaitable_tuple);
+            client_->received += size;
+            if (code && code != http::error::need_buffer) co_return transport_error(code, where_);
+            piece.resize(piece.size() - parser_.get().body().size);
+            if (!piece.empty()) co_return std::optional{std::move(piece)};
+        }
+    }
+
+    auto read_all() -> asio::awaitable<result<std::string>> override
+    {
+        auto whole = std::string{};
+        while (true) {
+            auto piece = co_await read();
+            if (!piece) co_return piece.error();
+            if (!piece.value()) co_return whole;
+            whole += *piece.value();
+        }
+    }
+
+    auto cancel() -> void override
+    {
+        if (connection_ == nullptr) return;
+        auto ignored = boost::system::error_code{};
+        connection_->stream.socket().close(ignored);
+    }
+
+private:
+    auto set_expiry() -> void
+    {
+        if (deadline_)
+            connection_->stream.expires_at(*deadline_);
+        else
+            connection_->stream.expires_after(options_.timeout);
+    }
+
+    auto finish() -> void
+    {
+        auto const keep = parser_.keep_alive();
+        if (keep) client_->give_back(where_, std::move(connection_), clock::now());
+        connection_.reset();
+    }
+
+    std::shared_ptr<http_client::state> client_;
+    address where_;
+    connection_ptr connection_;
+    http_call_options options_;
+    std::optional<time_point> deadline_; // of the whole answer; without it each piece has options_.timeout
+    http::response_parser<http::buffer_body> parser_;
+    http_headers headers_;
+};
+
+} // namespace
+
+auto http_client::state::exchange(address where, http_request request, http_call_options options,
+                                  std::optional<time_point> deadline)
+    -> asio::awaitable<result<std::unique_ptr<http_stream>>>
+{
+    auto self = shared_from_this();
+    auto const message = to_message(std::move(request), where, events);
+    auto held = options.fresh_connection ? nullptr : take(where, clock::now());
+    while (true) {
+        if (held == nullptr) {
+            auto made = co_await connect(where, options.connect_timeout);
+            if (!made) co_return made.error();
+            held = std::move(made).value();
+        }
+        auto const reused = held->reused;
+        held->stream.expires_after(options.timeout);
+        auto [write_code, size] = co_await http::async_write(held->stream, message, awaitable_tuple);
+        sent += size;
+        auto answer = std::make_unique<response_stream>(self, where, std::move(held), options, deadline);
+        auto code = write_code;
+        if (!code) code = co_await answer->read_header();
+        if (!code) co_return std::unique_ptr<http_stream>{std::move(answer)};
+        // A kept-alive connection that the other side closed in the meantime: once more on a new one. Callers
+        // that must not repeat ask for a fresh connection and never come here.
+        auto const closed = code == http::error::end_of_stream || code == asio::error::connection_reset ||
+                            code == asio::error::broken_pipe;
+        if (!reused || !closed) co_return transport_error(code, where);
+        held = nullptr;
+    }
+}
+
+http_client::http_client(asio::io_context& io, timeline* events) : state_{std::make_shared<state>(io, events)}
+{
+}
+http_client::~http_client() = default;
+
+auto http_client::open(address const& where, http_request request, http_call_options options)
+    -> asio::awaitable<result<std::unique_ptr<http_stream>>>
+{
+    return state_->exchange(where, std::move(request), options, std::nullopt);
+}
+
+auto http_client::fetch(address const& where, http_request request, http_call_options options)
+    -> asio::awaitable<result<http_response>>
+{
+    auto opened =
+        co_await state_->exchange(where, std::move(request), options, clock::now() + options.timeout);
+    if (!opened) co_return opened.error();
+    auto& answer = *opened.value();
+    auto body = co_await answer.read_all();
+    if (!body) co_return body.error();
+    co_return http_response{answer.status(), answer.headers(), std::move(body).value()};
+}
+
+auto http_client::bytes_sent() const -> std::size_t { return state_->sent; }
+auto http_client::bytes_received() const -> std::size_t { return state_->received; }
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,409 @@
+#include "hibiscuswall/http/http_server.hpp"
+
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace hibiscuswall {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto awaitable_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto first_read_bytes = std::size_t{4096};
+
+auto error_body(result_code code, std::string_view message) -> std::string
+{
+    auto const& info = describe(code);
+    return nlohmann::json{{"code", static_cast<int>(code)},
+                          {"name", info.name},
+                          {"message", message},
+                          {"ran", ran_text(info.outcome)}}
+        .dump();
+}
+
+auto to_request(http::request<http::string_body>&& message) -> http_request
+{
+    auto request = http_request{};
+    request.method = std::string{message.method_string()};
+    request.target = std::string{message.target()};
+    for (auto const& field : message)
+        request.headers.set(std::string_view{field.name_string()}, std::string_view{field.value()});
+    request.body = std::move(message.body());
+    return request;
+}
+
+auto is_transport_header(std::string_view name) -> bool
+{
+    return beast::iequals(name, "Content-Length") || beast::iequals(name, "Connection") ||
+           beast::iequals(name, "Transfer-Encoding");
+}
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<state> {
+    asio::io_context& io;
+    http_router const& routes;
+    timeline* events = nullptr;
+    http_server_limits limits;
+    tcp::acceptor acceptor;
+    bool stopping = false;
+    std::size_t connections = 0;
+    std::size_t active = 0;
+    std::set<beast::tcp_stream*> idle; // kept-alive connections without a request
+
+    state(asio::io_context& context, http_router const& table, timeline* line, http_server_limits bounds)
+        : io{context}, routes{table}, events{line}, limits{bounds}, acceptor{context}
+    {
+    }
+
+    auto accept_loop() -> asio::awaitable<void>;
+    auto serve(tcp::socket socket) -> asio::awaitable<void>;
+    auto serve_requests(beast::tcp_stream& stream) -> asio::awaitable<void>;
+    auto handle(http_request const& request, http_responder& out) -> asio::awaitable<void>;
+};
+
+namespace {
+
+// Watches for the caller closing its connection while a handler runs. A caller that shuts down its sending
+// side is taken as gone, since HTTP callers that still want the answer keep it open.
+struct disconnect_watch : std::enable_shared_from_this<disconnect_watch> {
+    beast::tcp_stream& stream;
+    std::function<void()> callback;
+    bool gone = false;
+    bool finished = false;
+
+    explicit disconnect_watch(beast::tcp_stream& watched) : stream{watched} {}
+
+    auto arm() -> void
+    {
+        stream.socket().async_wait(tcp::socket::wait_read,
+                                   [self = shared_from_this()](boost::system::error_code code) {
+                                       if (self->finished || code == asio::error::operation_aborted) return;
+                                       self->inspect();
+                                   });
+    }
+
+    auto inspect() -> void
+    {
+        auto byte = char{};
+        auto code = boost::system::error_code{};
+        auto const size = stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+        if (!code && size > 0) return; // a pipelined request: nothing more can be learned by waiting
+        if (code == asio::error::would_block || code == asio::error::try_again) return arm();
+        gone = true;
+        if (callback) std::exchange(callback, nullptr)();
+    }
+};
+
+// Cancels the reading of a request after a time. The stream's own timeout closes the socket, which leaves no
+// way to answer 408.
+class read_limit {
+public:
+    read_limit(beast::tcp_stream& stream, milliseconds timeout)
+        : shared_{std::make_shared<shared>(stream.get_executor(), stream)}
+    {
+        stream.expires_never();
+        shared_->timer.expires_after(timeout);
+        shared_->timer.async_wait([shared = shared_](boost::system::error_code code) {
+            if (code || shared->stopped) return;
+            shared->fired = true;
+            auto ignored = boost::system::error_code{};
+            shared->stream.socket().cancel(ignored);
+        });
+    }
+
+    // Ends the watch; true when the time had passed.
+    auto stop() -> bool
+    {
+        shared_->stopped = true;
+        shared_->timer.cancel();
+        return shared_->fired;
+    }
+
+private:
+    struct shared {
+        shared(asio::any_io_executor const& executor, beast::tcp_stream& watched)
+            : timer{executor}, stream{watched}
+        {
+        }
+
+        asio::steady_timer timer;
+        beast::tcp_stream& stream;
+        bool stopped = false;
+        bool fired = false;
+    };
+    std::shared_ptr<shared> shared_;
+};
+
+class responder final : public http_responder {
+public:
+    responder(beast::tcp_stream& stream, http_server::state& server, std::shared_ptr<disconnect_watch> watch,
+              bool keep_alive)
+        : stream_{stream}, server_{server}, watch_{std::move(watch)}, keep_alive_{keep_alive}
+    {
+    }
+
+    auto send(http_response response) -> asio::awaitable<bool> override
+    {
+        auto message = http::response<http::string_body>{static_cast<http::status>(response.status), 11};
+        copy_headers(message, response.headers);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        answered_ = true;
+        stream_.expires_after(server_.limits.write_timeout);
+        auto [code, size] = co_await http::async_write(stream_, message, awaitable_tuple);
+        co_return note(code);
+    }
+
+    auto start(int status, http_headers headers) -> asio::awaitable<bool> override
+    {
+        auto message = http::response<http::empty_body>{static_cast<http::status>(status), 11};
+        copy_headers(message, headers);
+        message.chunked(true);
+        answered_ = true;
+        streaming_ = true;
+        auto serializer = http::response_serializer<http::empty_body>{message};
+        stream_.expires_after(server_.limits.write_timeout);
+        auto [code, size] = co_await http::async_write_header(stream_, serializer, awaitable_tuple);
+        co_return note(code);
+    }
+
+    auto write(std::string_view piece) -> asio::awaitable<bool> override
+    {
+        if (piece.empty()) co_return !broken_;
+        if (broken_) co_return false;
+        stream_.expires_after(server_.limits.write_timeout);
+        auto [code, size] = co_await asio::async_write(
+            stream_, http::make_chunk(asio::buffer(piece.data(), piece.size())), awaitable_tuple);
+        co_return note(code);
+    }
+
+    auto finish() -> asio::awaitable<bool> override
+    {
+        streaming_ = false;
+        if (broken_) co_return false;
+        stream_.expires_after(server_.limits.write_timeout);
+        auto [code, size] = co_await asio::async_write(stream_, http::make_chunk_last(), awaitable_tuple);
+        co_return note(code);
+    }
+
+    auto abort() -> void override { broken_ = true; }
+    auto on_disconnect(std::function<void()> callback) -> void override
+    {
+        if (!watch_->gone) {
+            watch_->callback = std::move(callback);
+            return;
+        }
+        callback();
+    }
+    [[nodiscard]] auto disconnected() const -> bool override { return watch_->gone || broken_; }
+
+    [[nodiscard]] auto answered() const -> bool { return answered_; }
+
+    // Whether the connection can carry another request: every byte of this answer left and was complete.
+    [[nodiscard]] auto reusable() const -> bool
+    {
+        return keep_alive_ && answered_ && !streaming_ && !broken_ && !server_.stopping;
+    }
+
+private:
+    template<class Message>
+    auto copy_headers(Message& message, http_headers const& headers) -> void
+    {
+        for (auto const& header : headers.all())
+            if (!is_transport_header(header.name)) message.set(header.name, header.value);
+        if (server_.events != nullptr) message.set("Hw-Clock", std::to_string(server_.events->tick()));
+        message.keep_alive(keep_alive_ && !server_.stopping);
+    }
+
+    auto note(boost::system::error_code code) -> bool
+    {
+        if (code) broken_ = true;
+        return !code;
+    }
+
+    beast::tcp_stream& stream_;
+    http_server::state& server_;
+    std::shared_ptr<disconnect_watch> watch_;
+    bool keep_alive_;
+    bool answered_ = false;
+    bool streaming_ = false;
+    bool broken_ = false;
+};
+
+// Error answer for a request that could not be read; empty when the connection just ended.
+auto read_failure(boost::system::error_code code) -> std::optional<http_response>
+{
+    if (code == http::error::body_limit)
+        return json_response(413, error_body(result_code::request_too_large, "the body exceeds the limit"));
+    if (code == http::error::header_limit || code == http::error::buffer_overflow)
+        return json_response(431, error_body(result_code::request_too_large, "the header exceeds the limit"));
+    if (code == beast::error::timeout)
+        return json_response(
+            408, error_body(result_code::request_timeout, "the request was not received in time"));
+    if (code.category() == make_error_code(http::error::bad_method).category() &&
+        code != http::error::end_of_stream && code != http::error::partial_message)
+        return json_response(400, error_body(result_code::request_malformed, code.message()));
+    return std::nullopt;
+}
+
+} // namespace
+
+auto http_server::state::accept_loop() -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    while (!stopping) {
+        auto [code, socket] = co_await acceptor.async_accept(awaitable_tuple);
+        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) break;
+        if (code) {
+            // Out of descriptors, for example: accept again after a pause instead of spinning.
+            auto timer = asio::steady_timer{io, milliseconds{50}};
+            co_await timer.async_wait(awaitable_tuple);
+            continue;
+        }
+        if (connections >= limits.connections) continue; // the socket closes here
+        auto ignored = boost::system::error_code{};
+        socket.set_option(tcp::no_delay{true}, ignored);
+        asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+    }
+}
+
+auto http_server::state::serve(tcp::socket socket) -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    auto stream = beast::tcp_stream{std::move(socket)};
+    stream.socket().non_blocking(true);
+    ++connections;
+    try {
+        co_await serve_requests(stream);
+    } catch (std::exception const& problem) {
+        log_event(log_level::error, "http_connection_failed", {{"reason", problem.what()}});
+    }
+    --connections;
+    idle.erase(&stream);
+    auto ignored = boost::system::error_code{};
+    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream.socket().close(ignored);
+}
+
+auto http_server::state::serve_requests(beast::tcp_stream& stream) -> asio::awaitable<void>
+{
+    auto buffer = beast::flat_buffer{limits.header_bytes + limits.body_bytes};
+    while (!stopping) {
+        // Waits for the first byte with the idle timeout, then reads the whole request with its own.
+        if (buffer.size() == 0) {
+            idle.insert(&stream);
+            stream.expires_after(limits.idle_timeout);
+            auto [idle_code, size] = co_await stream.async_read_some(
+                buffer.prepare(std::min(first_read_bytes, buffer.max_size())), awaitable_tuple);
+            idle.erase(&stream);
+            if (idle_code) co_return;
+            buffer.commit(size);
+        }
+
+        auto parser = http::request_parser<http::string_body>{};
+        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        parser.body_limit(limits.body_bytes);
+        auto limit = read_limit{stream, limits.request_timeout};
+        auto [code, size] = co_await http::async_read(stream, buffer, parser, awaitable_tuple);
+        auto const late = limit.stop();
+        auto watch = std::make_shared<disconnect_watch>(stream);
+        if (code) {
+            auto failure = read_failure(late ? beast::error::timeout : code);
+            if (!failure) co_return;
+            auto out = responder{stream, *this, watch, false};
+            co_await out.send(std::move(*failure));
+            co_return;
+        }
+
+        auto const keep_alive = parser.get().keep_alive();
+        auto const request = to_request(parser.release());
+        if (events != nullptr && request.headers.contains("Hw-Clock"))
+            events->observe(static_cast<std::uint64_t>(request.headers.number("Hw-Clock", 0)));
+        auto out = responder{stream, *this, watch, keep_alive};
+        stream.expires_never();
+        watch->arm();
+        ++active;
+        co_await handle(request, out);
+        --active;
+        watch->finished = true;
+        watch->callback = nullptr;
+        if (!out.reusable()) co_return;
+        auto ignored = boost::system::error_code{};
+        stream.socket().cancel(ignored); // ends the disconnect watch
+    }
+}
+
+auto http_server::state::handle(http_request const& request, http_responder& out) -> asio::awaitable<void>
+{
+    auto const* handler = routes.match(request.method, request.path());
+    if (handler == nullptr) {
+        co_await out.send(
+            json_response(404, error_body(result_code::resource_not_found, "no such path or method")));
+        co_return;
+    }
+    auto failed = std::string{};
+    try {
+        co_await (*handler)(request, out);
+    } catch (std::exception const& problem) {
+        failed = problem.what();
+    }
+    auto& answer = static_cast<responder&>(out);
+    if (!failed.empty())
+        log_event(log_level::error, "http_handler_failed", {{"target", request.target}, {"reason", failed}});
+    if (answer.answered()) co_return;
+    co_await out.send(
+        json_response(500, error_body(result_code::internal_error, failed.empty() ? "no answer" : failed)));
+}
+
+http_server::http_server(asio::io_context& io, http_router const& routes, timeline* events,
+                         http_server_limits limits)
+    : state_{std::make_shared<state>(io, routes, events, limits)}
+{
+}
+
+http_server::~http_server() { stop_accepting(); }
+
+auto http_server::listen(address const& where) -> result<void>
+{
+    auto code = boost::system::error_code{};
+    auto const endpoint = tcp::endpoint{asio::ip::make_address(where.ip), where.port};
+    state_->acceptor.open(endpoint.protocol(), code);
+    if (!code) state_->acceptor.set_option(asio::socket_base::reuse_address{true}, code);
+    if (!code) state_->acceptor.bind(endpoint, code);
+    if (!code) state_->acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return fail(result_code::settings_invalid,
+                    "cannot listen on " + where.text() + ": " + code.message());
+    asio::co_spawn(state_->io, state_->accept_loop(), asio::detached);
+    return success();
+}
+
+auto http_server::stop_accepting() -> void
+{
+    state_->stopping = true;
+    auto ignored = boost::system::error_code{};
+    state_->acceptor.close(ignored);
+    for (auto* stream : std::set{state_->idle})
+        stream->cancel();
+}
+
+auto http_server::active() const -> std::size_t { return state_->active; }
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/tests/integration/http_test.cpp
@@ -0,0 +1,143 @@
+// The transport between all processes: whole answers, cut answers, bad input, callers that go away.
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/http/http_client.hpp"
+#include "hibiscuswall/http/http_server.hpp"
+
+#include "support/free_port.hpp"
+#include "support/run_coroutine.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <future>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+// Sends raw bytes and reads until the server closes.
+auto raw_exchange(address const& where, std::string const& bytes) -> std::string
+{
+    auto io = asio::io_context{};
+    auto socket = asio::ip::tcp::socket{io};
+    socket.connect({asio::ip::make_address(where.ip), where.port});
+    auto code = boost::system::error_code{};
+    asio::write(socket, asio::buffer(bytes), code);
+    auto answer = std::string{};
+    asio::read(socket, asio::dynamic_buffer(answer), code);
+    return answer;
+}
+
+} // namespace
+
+TEST_GROUP(http)
+{
+    asio::io_context io;
+    http_router routes;
+    address where = free_address();
+    http_client client{io, nullptr};
+    http_server_limits limits;
+    std::unique_ptr<http_server> server;
+    bool saw_disconnect = false;
+
+    void setup() override
+    {
+        limits.body_bytes = 1000;
+        limits.header_bytes = 1000;
+        limits.request_timeout = milliseconds{200};
+        routes.add("POST", "/echo",
+                   [](http_request const& request, http_responder& out) -> asio::awaitable<void> {
+                       co_await out.send({200, {}, request.body});
+                   });
+        routes.add("GET", "/stream",
+                   [](http_request const& request, http_responder& out) -> asio::awaitable<void> {
+                       co_await out.start(200, {});
+                       co_await out.write("first ");
+                       if (request.has_query("cut")) {
+                           out.abort();
+                           co_return;
+                       }
+                       co_await out.write("second");
+                       co_await out.finish();
+                   });
+        routes.add("GET", "/wait",
+                   [this](http_request const& /*request*/, http_responder& out) -> asio::awaitable<void> {
+                       out.on_disconnect([this] { saw_disconnect = true; });
+                       while (!out.disconnected())
+                           co_await sleep_for(milliseconds{1});
+                   });
+        server = std::make_unique<http_server>(io, routes, nullptr, limits);
+        CHECK(server->listen(where).has_value());
+    }
+
+    // Runs a coroutine on the io_context until it is done.
+    template<class T>
+    auto run(asio::awaitable<T> work)->T
+    {
+        return run_coroutine(io, std::move(work));
+    }
+
+    // Sends raw bytes from another thread while the server runs here.
+    auto raw(std::string const& bytes)->std::string
+    {
+        auto answer = std::async(std::launch::async, [&] { return raw_exchange(where, bytes); });
+        while (answer.wait_for(milliseconds{0}) != std::future_status::ready)
+            io.run_for(milliseconds{1});
+        return answer.get();
+    }
+};
+
+TEST(http, a_whole_answer_on_a_reused_connection)
+{
+    for (auto const* text : {"one", "two", ""}) {
+        auto answer = run(client.fetch(where, {"POST", "/echo", {}, text}));
+        CHECK(answer.has_value());
+        STRCMP_EQUAL(text, answer.value().body.c_str());
+    }
+}
+
+TEST(http, a_stream_ends_with_its_marker)
+{
+    auto answer = run(client.fetch(where, {"GET", "/stream", {}, {}}));
+    CHECK(answer.has_value());
+    STRCMP_EQUAL("first second", answer.value().body.c_str());
+}
+
+// Guards against a cut answer that is taken for a whole one.
+TEST(http, a_cut_stream_is_an_error)
+{
+    auto answer = run(client.fetch(where, {"GET", "/stream?cut=1", {}, {}}));
+    CHECK(!answer.has_value());
+    CHECK(answer.error().code == result_code::connection_lost);
+}
+
+// Guards against an answer whose end cannot be told from a cut.
+TEST(http, an_unreachable_address_is_told_as_nothing_sent)
+{
+    auto answer = run(client.fetch(free_address(), {"GET", "/", {}, {}}));
+    CHECK(answer.error().code == result_code::connect_failed);
+}
+
+TEST(http, bad_input_gets_one_clear_error_each)
+{
+    CHECK(raw("rubbish\r\n\r\n").starts_with("HTTP/1.1 400"));
+    CHECK(raw("POST /echo HTTP/1.1\r\nContent-Length: 5000\r\n\r\n").starts_with("HTTP/1.1 413"));
+    CHECK(raw("GET /echo HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+    CHECK(raw("GET /absent HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 404"));
+    CHECK(raw("POST /echo HTTP/1.1\r\nContent-Length: 5\r\n\r\nab").starts_with("HTTP/1.1 408"));
+    CHECK(run(client.fetch(where, {"POST", "/echo", {}, "alive"})).has_value());
+}
+
+// Guards against work that goes on for a caller that left.
+TEST(http, a_handler_learns_that_the_caller_left)
+{
+    auto options = http_call_options{};
+    options.timeout = milliseconds{50};
+    CHECK(!run(client.fetch(where, {"GET", "/wait", {}, {}}, options)).has_value());
+    while (!saw_disconnect)
+        io.run_one();
+    CHECK(saw_disconnect);
+}
