Fix crash in answers sent from coroutines

Cause: GCC 12 destroys an aggregate temporary inside a co_await expression twice; http_response{...} passed to send() was freed twice. Ruled out: the disconnect watch and the read timer (the crash also came without them). Change: http_request and http_response have constructors, so they are no aggregates. Before: segmentation fault in bad_input_gets_one_clear_error_each.

--- a/include/hibiscuswall/http/http_message.hpp
+++ b/include/hibiscuswall/http/http_message.hpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace hibiscuswall {
@@ -36,12 +37,20 @@
     std::vector<http_header> list_;
 };
 
+// The constructors are needed: GCC 12 destroys an aggregate temporary inside a co_await expression twice.
 struct http_request {
     std::string method = "GET"; // upper case
     std::string target = "/";   // path with query
     http_headers headers;       // Host, Content-Length and Connection are set by the transport
     std::string body;           // whole body
 
+    http_request() = default;
+    http_request(std::string verb, std::string where, http_headers fields = {}, std::string content = {})
+        : method{std::move(verb)}, target{std::move(where)}, headers{std::move(fields)}, body{std::move(
+                                                                                             content)}
+    {
+    }
+
     [[nodiscard]] auto path() const -> std::string_view;                 // target without query
     [[nodiscard]] auto query(std::string_view key) const -> std::string; // percent-decoded; empty when absent
     [[nodiscard]] auto has_query(std::string_view key) const -> bool;
@@ -51,6 +60,12 @@
     int status = 200;     // HTTP status
     http_headers headers; // Content-Length is set by the transport
     std::string body;     // whole body
+
+    http_response() = default;
+    http_response(int code, http_headers fields, std::string content)
+        : status{code}, headers{std::move(fields)}, body{std::move(content)}
+    {
+    }
 };
 
 // Answer with a JSON text.
