--- a/tools/measures/lib_deployment.py
+++ b/tools/measures/lib_deployment.py
@@ -123,7 +123,7 @@
     def platform(self, weights=(), store_arguments=(), origin_arguments=()):
         self.standin("key-value", "standin-kv")
         self.hosts_file = pathlib.Path(self.folder) / "hosts.json"
-        self.standin("host-list", "standin-hosts", "--file", self.hosts_file)
+        self.standin("host-list", "standin-hosts", "--hosts", self.hosts_file)
         self.standin("weight-store", "standin-weights", *weights, *store_arguments)
         self.standin("origin", "standin-weights", *weights, *origin_arguments)
 
