--- /dev/null
+++ b/include/hibiscuswall/lifecycle/endpoint_machine.hpp
@@ -0,0 +1,51 @@
+#pragma once
+// Life of an endpoint as its agent sees it (Boost.MSM).
+//
+//   cold --served--> warming --warmed--> ready --turned_cold--> cold
+//   cold, warming, ready --drained--> draining --served--> warming; draining --turned_cold--> cold
+//   any of these --leave--> leaving --finished--> gone
+//
+//   auto machine = endpoint_machine{};
+//   machine.apply(endpoint_event::served);        // false: not allowed in this state, nothing changed
+
+#include <memory>
+#include <string_view>
+
+namespace hibiscuswall {
+
+enum class endpoint_state {
+    cold,     // no weights, or unknown ones: takes no work
+    warming,  // serves from the cold limit
+    ready,    // its limit has grown
+    draining, // finishes what runs before a load order
+    leaving,  // finishes what runs before it stops
+    gone,     // nothing runs any more
+};
+
+enum class endpoint_event {
+    served,      // weights are in place, or a plain service was found
+    warmed,      // the limit exceeds the cold limit
+    turned_cold, // instance, digest or latency says that the endpoint is cold
+    drained,     // a load order is about to come
+    leave,       // graceful stop
+    finished,    // nothing is in flight
+};
+
+[[nodiscard]] auto endpoint_state_text(endpoint_state state) -> std::string_view;
+
+class endpoint_machine {
+public:
+    endpoint_machine();
+    ~endpoint_machine();
+    endpoint_machine(endpoint_machine const&) = delete;
+    auto operator=(endpoint_machine const&) -> endpoint_machine& = delete;
+
+    auto apply(endpoint_event event) -> bool;
+    [[nodiscard]] auto state() const -> endpoint_state;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/include/hibiscuswall/lifecycle/endpoint_settings.hpp
@@ -0,0 +1,26 @@
+#pragma once
+// The endpoint beside an agent: where it is and how it is asked.
+//
+//   auto settings = read_endpoint_settings(reader.child("endpoint"));
+
+#include "hibiscuswall/config/resource.hpp"
+#include "hibiscuswall/core/address.hpp"
+#include "hibiscuswall/core/settings_reader.hpp"
+
+namespace hibiscuswall {
+
+struct endpoint_settings {
+    address where;                            // "address" of the engine or plain service
+    std::string service;                      // "service": name of its Service resource
+    service_type type = service_type::engine; // "type": "engine" or "plain"
+    bool enforces_fencing = true;             // "enforces_fencing": the engine refuses orders with an old
+                                              // number; without it the status is read before each request
+    milliseconds poll_interval{200};          // "poll_interval_ms": between two reads of the engine's status
+    milliseconds status_timeout{1'000};       // "status_timeout_ms": of one status, order or cancel call
+    milliseconds answer_timeout{30'000};      // "answer_timeout_ms": header and each piece of an answer
+    milliseconds default_deadline{30'000};    // "default_deadline_ms": of a request without Hw-Deadline-Ms
+};
+
+[[nodiscard]] auto read_endpoint_settings(settings_reader reader) -> endpoint_settings;
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/include/hibiscuswall/platform/engine_client.hpp
@@ -0,0 +1,78 @@
+#pragma once
+// Orders to the model engine beside an agent and its status (docs/platform.md).
+//
+//   auto engine = engine_client{client, where, milliseconds{1000}};
+//   auto status = co_await engine.status();
+//   auto order = load_order{...};
+//   auto loaded = co_await engine.load(order);
+//   // errors: fencing_outdated  the engine has seen a newer order
+//   //         load_rejected     the engine refused; nothing changed
+//   //         connection_lost, transport_timeout   unknown: read the status before ordering again
+
+#include "hibiscuswall/core/result.hpp"
+#include "hibiscuswall/http/http_client.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace hibiscuswall {
+
+enum class engine_state {
+    cold,
+    warming,
+    ready,
+};
+
+struct engine_status {
+    std::string instance;                    // changes when the engine restarts
+    engine_state state = engine_state::cold; // as reported
+    std::string model;                       // loaded model; empty: none
+    std::string adapter;                     // loaded adapter; empty: none
+    std::string version;                     // loaded weights version
+    std::string manifest_digest;             // SHA-256 of the loaded version's manifest
+    std::uint64_t fencing = 0;               // number of the last order it took
+    int running = 0;                         // requests in the batch, with a lag
+    int queued = 0;                          // requests it holds back, with a lag
+    milliseconds load_age{0};                // how old running and queued are
+};
+
+struct load_order {
+    std::string model;           // as in the ModelServing resource
+    std::string adapter;         // empty: none
+    std::string version;         // weights version
+    std::string manifest_digest; // SHA-256 of the manifest text
+    std::uint64_t fencing = 0;   // greater than that of every earlier order to this host
+    address source;              // agent that serves GET /weights/{version}
+
+    // GCC 12 destroys an aggregate temporary inside a co_await expression twice; constructors avoid it.
+    load_order() = default;
+    load_order(std::string of_model, std::string of_adapter, std::string of_version, std::string digest,
+               std::uint64_t number, address from)
+        : model{std::move(of_model)}, adapter{std::move(of_adapter)}, version{std::move(of_version)},
+          manifest_digest{std::move(digest)}, fencing{number}, source{std::move(from)}
+    {
+    }
+};
+
+class engine_client {
+public:
+    engine_client(http_client& client, address where, milliseconds timeout)
+        : client_{client}, where_{std::move(where)}, timeout_{timeout}
+    {
+    }
+
+    auto status() -> asio::awaitable<result<engine_status>>;
+    auto load(load_order order) -> asio::awaitable<result<void>>;
+
+    // Ends a request; success also when the engine no longer knows it.
+    auto cancel(std::string request_id) -> asio::awaitable<result<void>>;
+
+    [[nodiscard]] auto where() const -> address const& { return where_; }
+
+private:
+    http_client& client_;
+    address where_;
+    milliseconds timeout_;
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/admission/admission_controller.cpp
@@ -0,0 +1,133 @@
+#include "hibiscuswall/admission/admission_controller.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto shortest_retry_after = milliseconds{50};
+constexpr auto longest_retry_after = milliseconds{10'000};
+constexpr auto smoothing = 8; // weight of the past in the moving average, in requests
+
+auto part_of(int whole, double share) -> std::size_t
+{
+    // At least one, or the lower classes would never run at a cold limit of one.
+    return static_cast<std::size_t>(std::max(1.0, std::floor(whole * share)));
+}
+
+auto bounds_for(admission_settings const& settings, int queue_limit) -> queue_bounds
+{
+    return {static_cast<std::size_t>(std::max(1, queue_limit)), part_of(queue_limit, settings.status_share),
+            part_of(queue_limit, settings.drafting_share)};
+}
+
+} // namespace
+
+admission_controller::admission_controller(admission_settings settings)
+    : settings_{settings}, limit_{settings, service_resource{}.cold_limit, service_resource{}.max_limit},
+      queue_{bounds_for(settings, service_resource{}.queue_limit)}
+{
+}
+
+auto admission_controller::configure(service_resource const& service, time_point now) -> events
+{
+    limit_.configure(service.cold_limit, service.max_limit);
+    queue_.configure(bounds_for(settings_, service.queue_limit));
+    auto out = events{};
+    start_waiting(now, out);
+    return out;
+}
+
+auto admission_controller::arrive(admission_request request, time_point now) -> events
+{
+    auto out = events{};
+    if (request.deadline <= now) {
+        out.push_back({request.id, result_code::deadline_exceeded, milliseconds{0}});
+        return out;
+    }
+    auto const shed = queue_.push(std::move(request));
+    for (auto const id : shed)
+        out.push_back({id, result_code::queue_full, retry_after()});
+    start_waiting(now, out);
+    return out;
+}
+
+auto admission_controller::finish(std::uint64_t id, run_sample sample, time_point now) -> events
+{
+    auto out = events{};
+    auto const found = running_.find(id);
+    if (found == running_.end()) return out;
+    auto const in_flight = running_.size();
+    auto const ended = found->second;
+    running_.erase(found);
+    --running_by_class_.at(static_cast<std::size_t>(ended.priority));
+    queue_.finished(ended.account);
+
+    if (sample.outcome == run_outcome::succeeded) {
+        limit_.succeeded(ended.priority, sample.latency, in_flight, now);
+        usual_latency_ = usual_latency_.count() == 0
+                             ? sample.latency
+                             : usual_latency_ + (sample.latency - usual_latency_) / smoothing;
+    }
+    if (sample.outcome == run_outcome::overloaded) limit_.overloaded(now);
+    start_waiting(now, out);
+    return out;
+}
+
+auto admission_controller::abandon(std::uint64_t id) -> void { queue_.remove(id); }
+
+auto admission_controller::refuse_waiting(result_code reason) -> events
+{
+    auto out = events{};
+    for (auto const id : queue_.clear())
+        out.push_back({id, reason, milliseconds{0}});
+    return out;
+}
+
+auto admission_controller::share_of_limit(request_class priority) const -> std::size_t
+{
+    switch (priority) {
+    case request_class::booking:
+        break;
+    case request_class::status:
+        return part_of(limit(), settings_.status_share);
+    case request_class::drafting:
+        return part_of(limit(), settings_.drafting_share);
+    }
+    return static_cast<std::size_t>(limit());
+}
+
+// A class may start while the whole is below the limit and it and those below it are within their share.
+auto admission_controller::lowest_startable() const -> std::optional<request_class>
+{
+    if (running_.size() >= static_cast<std::size_t>(limit())) return std::nullopt;
+    auto const drafting = running_by_class_[0];
+    auto const status = drafting + running_by_class_[1];
+    if (status >= share_of_limit(request_class::status)) return request_class::booking;
+    if (drafting >= share_of_limit(request_class::drafting)) return request_class::status;
+    return request_class::drafting;
+}
+
+auto admission_controller::start_waiting(time_point now, events& out) -> void
+{
+    for (auto const id : queue_.expire(now))
+        out.push_back({id, result_code::deadline_exceeded, milliseconds{0}});
+    while (auto const lowest = lowest_startable()) {
+        auto const next = queue_.pop(*lowest);
+        if (!next) return;
+        running_[next->id] = {next->account, next->priority};
+        ++running_by_class_.at(static_cast<std::size_t>(next->priority));
+        out.push_back({next->id, result_code::ok, milliseconds{0}});
+    }
+}
+
+// Time until the present queue has been worked off.
+auto admission_controller::retry_after() const -> milliseconds
+{
+    auto const rounds = static_cast<double>(queue_.size() + 1) / limit();
+    auto const wait = static_cast<double>(usual_latency_.count()) * rounds / 1'000.0;
+    return std::clamp(milliseconds{static_cast<long long>(wait)}, shortest_retry_after, longest_retry_after);
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/admission/fair_queue.cpp
@@ -0,0 +1,162 @@
+#include "hibiscuswall/admission/fair_queue.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto ascending = std::array{request_class::drafting, request_class::status, request_class::booking};
+constexpr auto smallest_weight = 1e-6;            // a weight of 0 would divide by zero
+constexpr auto accounts_kept = std::size_t{4096}; // above it, idle accounts lose their turn history
+
+} // namespace
+
+auto fair_queue::size(request_class priority) const -> std::size_t
+{
+    auto const found = lines_.find(priority);
+    if (found == lines_.end()) return 0;
+    auto count = std::size_t{0};
+    for (auto const& [account, waiting] : found->second)
+        count += waiting.size();
+    return count;
+}
+
+auto fair_queue::size() const -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (auto const priority : ascending)
+        count += size(priority);
+    return count;
+}
+
+auto fair_queue::over_bounds(request_class newcomer) const -> bool
+{
+    auto const drafting = size(request_class::drafting);
+    auto const status = drafting + size(request_class::status);
+    if (status + size(request_class::booking) > bounds_.total) return true;
+    if (newcomer <= request_class::status && status > bounds_.status) return true;
+    return newcomer == request_class::drafting && drafting > bounds_.drafting;
+}
+
+auto fair_queue::push(admission_request request) -> std::vector<std::uint64_t>
+{
+    if (accounts_.size() >= accounts_kept)
+        std::erase_if(accounts_,
+                      [](auto const& entry) { return entry.second.in_flight + entry.second.waiting == 0; });
+    auto const newcomer = request.priority;
+    auto& account = accounts_[request.account];
+    account.weight = std::max(request.weight, smallest_weight);
+    // An account that was idle starts at the present virtual time: it gains no credit for the pause.
+    if (account.waiting == 0) account.start_tag = std::max(account.start_tag, virtual_time_);
+    ++account.waiting;
+    auto const name = request.account;
+    lines_[newcomer][name].push_back(std::move(request));
+
+    auto shed = std::vector<std::uint64_t>{};
+    while (over_bounds(newcomer))
+        shed.push_back(shed_one(newcomer));
+    return shed;
+}
+
+// The newest request of the most-loaded account in the lowest class that waits, never above the newcomer's.
+auto fair_queue::shed_one(request_class newcomer) -> std::uint64_t
+{
+    for (auto const priority : ascending) {
+        auto& waiting = lines_[priority];
+        if (waiting.empty() && priority < newcomer) continue;
+        auto const load = [&](std::string const& name) {
+            auto const& account = accounts_.at(name);
+            return static_cast<double>(account.in_flight + account.waiting) / account.weight;
+        };
+        auto const most =
+            std::max_element(waiting.begin(), waiting.end(), [&](auto const& left, auto const& right) {
+                return load(left.first) < load(right.first);
+            });
+        auto const id = most->second.back().id;
+        remove(id);
+        return id;
+    }
+    return 0; // not reached: the newcomer itself waits
+}
+
+auto fair_queue::pop(request_class lowest) -> std::optional<admission_request>
+{
+    for (auto at = ascending.size(); at-- > 0;) {
+        auto const priority = ascending.at(at);
+        if (priority < lowest) break;
+        auto& waiting = lines_[priority];
+        if (waiting.empty()) continue;
+        auto const goes_first = [&](auto const& left, auto const& right) {
+            auto const& one = accounts_.at(left.first);
+            auto const& other = accounts_.at(right.first);
+            auto const one_load = static_cast<double>(one.in_flight) / one.weight;
+            auto const other_load = static_cast<double>(other.in_flight) / other.weight;
+            return one_load != other_load ? one_load < other_load : one.start_tag < other.start_tag;
+        };
+        auto const next = std::min_element(waiting.begin(), waiting.end(), goes_first);
+        auto& account = accounts_.at(next->first);
+        auto request = std::move(next->second.front());
+        next->second.pop_front();
+        if (next->second.empty()) waiting.erase(next);
+        virtual_time_ = std::max(virtual_time_, account.start_tag);
+        account.start_tag += 1.0 / account.weight;
+        --account.waiting;
+        ++account.in_flight;
+        return request;
+    }
+    return std::nullopt;
+}
+
+auto fair_queue::finished(std::string const& account) -> void
+{
+    auto const found = accounts_.find(account);
+    if (found == accounts_.end()) return;
+    if (found->second.in_flight > 0) --found->second.in_flight;
+    forget_if_unused(account);
+}
+
+auto fair_queue::forget_if_unused(std::string const& account) -> void
+{
+    auto const found = accounts_.find(account);
+    if (found == accounts_.end() || found->second.in_flight + found->second.waiting > 0) return;
+    // A start tag in the future is a debt that must outlive the pause.
+    if (found->second.start_tag <= virtual_time_) accounts_.erase(found);
+}
+
+template<class Predicate>
+auto fair_queue::remove_if(Predicate matches) -> std::vector<std::uint64_t>
+{
+    auto removed = std::vector<std::uint64_t>{};
+    for (auto& [priority, waiting] : lines_) {
+        for (auto at = waiting.begin(); at != waiting.end();) {
+            auto& list = at->second;
+            auto const before = list.size();
+            for (auto const& request : list)
+                if (matches(request)) removed.push_back(request.id);
+            std::erase_if(list, matches);
+            accounts_.at(at->first).waiting -= before - list.size();
+            auto const name = at->first;
+            at = list.empty() ? waiting.erase(at) : std::next(at);
+            forget_if_unused(name);
+        }
+    }
+    return removed;
+}
+
+auto fair_queue::remove(std::uint64_t id) -> bool
+{
+    return !remove_if([id](admission_request const& request) { return request.id == id; }).empty();
+}
+
+auto fair_queue::expire(time_point now) -> std::vector<std::uint64_t>
+{
+    return remove_if([now](admission_request const& request) { return request.deadline <= now; });
+}
+
+auto fair_queue::clear() -> std::vector<std::uint64_t>
+{
+    return remove_if([](admission_request const& /*request*/) { return true; });
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/calls/engine_watch.cpp
@@ -0,0 +1,84 @@
+// Reads the engine's status in a loop and closes admission at once when it does not serve what was ordered.
+#include "gate_state.hpp"
+
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto failed_reads_until_closed = 3; // one lost status must not stop the endpoint
+
+} // namespace
+
+auto request_gate::state::watch_engine() -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    while (true) {
+        co_await read_engine();
+        co_await sleep_for(endpoint.poll_interval);
+    }
+}
+
+auto request_gate::state::read_engine() -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    auto found = co_await engine.status();
+    if (found) {
+        failed_reads = 0;
+        if (!engine_reached) {
+            engine_reached = true;
+            admission.reset();
+            log_event(log_level::info, "engine_reached", {{"instance", found.value().instance}});
+            context.events.record("engine_reached", {{"instance", found.value().instance}});
+        }
+        judge(found.value());
+        co_return;
+    }
+    if (++failed_reads < failed_reads_until_closed || !engine_reached) co_return;
+    engine_reached = false;
+    move(endpoint_event::turned_cold);
+    stop_new_work(result_code::endpoint_cold);
+    log_event(log_level::warning, "engine_unreachable", {{"reason", found.error().message}});
+    context.events.record("engine_unreachable", {{"reason", found.error().message}});
+}
+
+auto request_gate::state::is_ordered(engine_status const& found) const -> bool
+{
+    return ordered && found.manifest_digest == ordered->manifest_digest && found.version == ordered->version;
+}
+
+auto request_gate::state::judge(engine_status const& found) -> void
+{
+    auto const restarted = !instance.empty() && found.instance != instance;
+    auto const turned_cold = found.state == engine_state::cold && reported != engine_state::cold;
+    instance = found.instance;
+    reported = found.state;
+    admission.hold(found.state == engine_state::cold);
+    if (restarted || turned_cold) admission.reset();
+    if (!ordered || closed != result_code::ok) return;
+
+    if (restarted || !is_ordered(found)) {
+        closed = result_code::endpoint_cold;
+        move(endpoint_event::turned_cold);
+        stop_new_work(result_code::endpoint_cold);
+        context.measures.count("engine_changes_total");
+        log_event(log_level::warning, "engine_changed",
+                  {{"instance", found.instance},
+                   {"restarted", restarted ? "yes" : "no"},
+                   {"ordered", ordered->manifest_digest},
+                   {"found", found.manifest_digest}});
+        context.events.record("engine_changed", {{"instance", found.instance}, {"found", found.version}});
+        if (engine_changed) engine_changed({restarted, found});
+        return;
+    }
+    if (turned_cold) {
+        move(endpoint_event::turned_cold);
+        context.events.record("engine_cold", {{"instance", found.instance}});
+        log_event(log_level::warning, "engine_cold", {{"instance", found.instance}});
+    }
+    // It serves the ordered weights: from the cold limit if it was cold.
+    if (machine.state() == endpoint_state::cold) move(endpoint_event::served);
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/calls/forward_call.cpp
@@ -0,0 +1,201 @@
+// One admitted call: sends it to the engine or plain service and relays the answer to the entry.
+#include "gate_state.hpp"
+
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+auto since(time_point start) -> microseconds
+{
+    return std::chrono::duration_cast<microseconds>(clock::now() - start);
+}
+
+auto to_endpoint(forward_request const& call, std::string body) -> http_request
+{
+    auto request = http_request{call.method, call.target, {}, std::move(body)};
+    request.headers.set("X-Request-Id", call.call_id);
+    request.headers.set("X-Priority", request_class_text(call.priority));
+    request.headers.set("X-Account", call.account);
+    if (!call.content_type.empty()) request.headers.set("Content-Type", call.content_type);
+    if (!call.last_event_id.empty()) request.headers.set("Last-Event-ID", call.last_event_id);
+    return request;
+}
+
+// Whether the endpoint said that it cannot take more now.
+auto is_overload(int status) -> bool { return status == 429 || status == 503; }
+
+// Headers of the endpoint's answer that callers may see.
+auto relayed_headers(http_headers const& given) -> http_headers
+{
+    auto kept = http_headers{};
+    for (auto const& header : given.all()) {
+        auto const is_internal = header.name.starts_with("Hw-") || header.name.starts_with("hw-");
+        if (!is_internal) kept.set(header.name, header.value);
+    }
+    return kept;
+}
+
+// Ends a call at the engine while its answer has not begun; the coroutine owns all that it needs.
+auto cancel_at_engine(std::shared_ptr<request_gate::state> gate, std::string call_id) -> asio::awaitable<void>
+{
+    auto cancelled = co_await gate->engine.cancel(call_id);
+    log_event(log_level::info, "call_cancelled",
+              {{"call_id", call_id}, {"at_engine", cancelled ? "yes" : cancelled.error().message}});
+}
+
+auto outcome_of_failure(forward_request const& call, error const& problem, run_sample sample) -> call_outcome
+{
+    if (problem.code == result_code::connect_failed)
+        return {result_code::connect_failed, ran::no, problem.message, sample, false};
+    auto const code = call.idempotent ? problem.code : result_code::outcome_unknown;
+    return {code, ran::unknown, problem.message, sample, false};
+}
+
+} // namespace
+
+// What the disconnect callback may touch while a call is at the endpoint.
+struct live_call {
+    http_stream* answer = nullptr; // once its header came
+    bool cut = false;              // the entry closed its connection
+};
+
+// A non-idempotent call is left to finish: its answer is kept for call.resolve.
+auto request_gate::state::cancel_on_disconnect(forward_request const& call, http_responder& out)
+    -> std::shared_ptr<live_call>
+{
+    auto live = std::make_shared<live_call>();
+    if (!call.idempotent) {
+        out.on_disconnect([] {});
+        return live;
+    }
+    out.on_disconnect([live, gate = shared_from_this(), call_id = call.call_id] {
+        live->cut = true;
+        if (live->answer != nullptr)
+            live->answer->cancel();
+        else if (gate->is_engine())
+            asio::co_spawn(gate->context.io, cancel_at_engine(gate, call_id), asio::detached);
+    });
+    return live;
+}
+
+auto request_gate::state::forward(forward_request call, std::string body, http_responder& out)
+    -> asio::awaitable<call_outcome>
+{
+    auto self = shared_from_this();
+    auto options = http_call_options{};
+    options.timeout = endpoint.answer_timeout;
+    // A kept-alive connection that was closed in the meantime hides whether the call was received.
+    options.fresh_connection = !call.idempotent;
+    auto request = to_endpoint(call, std::move(body));
+    auto const sent = clock::now();
+    auto live = cancel_on_disconnect(call, out);
+    auto opened = co_await context.client.open(endpoint.where, std::move(request), options);
+    if (!opened) {
+        auto const sample = run_sample{run_outcome::overloaded, since(sent)};
+        co_return outcome_of_failure(call, opened.error(), sample);
+    }
+    auto& answer = *opened.value();
+    live->answer = &answer;
+    auto outcome = co_await relay(call, answer, out, sent);
+    live->answer = nullptr;
+    if (live->cut) {
+        outcome.sample.outcome = run_outcome::neutral;
+        // The slot is free only when the engine no longer works on the call.
+        if (is_engine()) co_await cancel_at_engine(self, call.call_id);
+    }
+    co_return outcome;
+}
+
+// Why an answer must not reach the caller; empty when it may.
+auto request_gate::state::foreign(forward_request const& call, http_headers const& headers) -> std::string
+{
+    auto const echoed = headers.find("X-Request-Id");
+    auto const version = headers.find("X-Weights-Version");
+    auto reason = std::string{};
+    if (!echoed.empty() && echoed != call.call_id)
+        reason = "the answer belongs to request " + std::string{echoed};
+    else if (is_engine() && !version.empty() && version != call.version)
+        reason = "the answer was made with weights version " + std::string{version};
+    if (reason.empty()) return reason;
+    context.measures.count("foreign_answers_total");
+    context.events.record("foreign_answer_dropped", {{"call_id", call.call_id}});
+    log_event(log_level::error, "foreign_answer_dropped", {{"call_id", call.call_id}, {"reason", reason}});
+    return reason;
+}
+
+auto request_gate::state::relay(forward_request const& call, http_stream& answer, http_responder& out,
+                                time_point sent) -> asio::awaitable<call_outcome>
+{
+    auto sample = run_sample{run_outcome::succeeded, since(sent)};
+    if (auto const reason = foreign(call, answer.headers()); !reason.empty()) {
+        sample.outcome = run_outcome::neutral;
+        co_return outcome_of_failure(call, fail(result_code::response_malformed, reason), sample);
+    }
+    auto const status = answer.status();
+    if (is_engine() && status >= 500) {
+        sample.outcome = run_outcome::overloaded;
+        co_return call_outcome{result_code::endpoint_overloaded, ran::unknown,
+                               "engine: status " + std::to_string(status), sample, false};
+    }
+    if (is_overload(status)) sample.outcome = run_outcome::overloaded;
+
+    auto headers = relayed_headers(answer.headers());
+    add_state_headers(headers, call.call_id);
+    if (!call.version.empty()) headers.set("Hw-Weights-Version", call.version);
+    headers.set("Hw-Ran", ran_text(ran::yes));
+    headers.set("Hw-Code", 0LL);
+    if (answer.headers().contains("Content-Length"))
+        co_return co_await relay_whole(call, answer, std::move(headers), out, sample);
+    co_return co_await relay_stream(call, answer, std::move(headers), out, sample);
+}
+
+auto request_gate::state::relay_whole(forward_request const& call, http_stream& answer, http_headers headers,
+                                      http_responder& out, run_sample sample) -> asio::awaitable<call_outcome>
+{
+    auto body = co_await answer.read_all();
+    if (!body) {
+        sample.outcome = run_outcome::overloaded;
+        co_return outcome_of_failure(call, body.error(), sample);
+    }
+    auto const type = std::string{answer.headers().find("Content-Type")};
+    if (!call.idempotent) registry.answered(call.call_id, kept_answer{answer.status(), type, body.value()});
+    auto response = http_response{answer.status(), std::move(headers), std::move(body).value()};
+    co_await out.send(std::move(response));
+    co_return call_outcome{result_code::ok, ran::yes, {}, sample, true};
+}
+
+auto request_gate::state::relay_stream(forward_request const& call, http_stream& answer, http_headers headers,
+                                       http_responder& out, run_sample sample)
+    -> asio::awaitable<call_outcome>
+{
+    if (!co_await out.start(answer.status(), std::move(headers)) && call.idempotent) {
+        answer.cancel();
+        co_return call_outcome{result_code::cancelled, ran::unknown, "the entry closed", sample, true};
+    }
+    while (true) {
+        auto piece = co_await answer.read();
+        if (!piece) {
+            // Without the end marker the entry sees that the answer is cut.
+            out.abort();
+            sample.outcome = run_outcome::overloaded;
+            auto outcome = outcome_of_failure(call, piece.error(), sample);
+            outcome.relayed = true;
+            co_return outcome;
+        }
+        if (!piece.value()) break;
+        auto const written = co_await out.write(*piece.value());
+        if (!written && call.idempotent) {
+            answer.cancel();
+            co_return call_outcome{result_code::cancelled, ran::unknown, "the entry closed", sample, true};
+        }
+    }
+    if (!call.idempotent) registry.answered(call.call_id, std::nullopt);
+    co_await out.finish();
+    co_return call_outcome{result_code::ok, ran::yes, {}, sample, true};
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/calls/forward_request.cpp
@@ -0,0 +1,64 @@
+#include "hibiscuswall/calls/forward_request.hpp"
+
+#include <array>
+#include <optional>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto longest_deadline_ms = 24LL * 3'600 * 1'000;
+
+auto class_from_text(std::string_view text) -> std::optional<request_class>
+{
+    for (auto const candidate : {request_class::booking, request_class::status, request_class::drafting})
+        if (request_class_text(candidate) == text) return candidate;
+    return std::nullopt;
+}
+
+} // namespace
+
+auto request_class_text(request_class priority) -> std::string_view
+{
+    switch (priority) {
+    case request_class::booking:
+        return "booking";
+    case request_class::status:
+        return "status";
+    case request_class::drafting:
+        return "drafting";
+    }
+    return "drafting";
+}
+
+auto read_forward_request(http_request const& request, time_point now, milliseconds default_deadline)
+    -> result<forward_request>
+{
+    auto const& headers = request.headers;
+    for (auto const* name : {"Hw-Call-Id", "Hw-Class", "Hw-Method", "Hw-Target"})
+        if (headers.find(name).empty())
+            return fail(result_code::request_malformed, std::string{name} + " is required");
+    auto const priority = class_from_text(headers.find("Hw-Class"));
+    if (!priority)
+        return fail(result_code::request_malformed, "Hw-Class must be booking, status or drafting");
+    if (!headers.find("Hw-Target").starts_with('/'))
+        return fail(result_code::request_malformed, "Hw-Target must start with '/'");
+
+    auto read = forward_request{};
+    read.call_id = headers.find("Hw-Call-Id");
+    read.account = headers.find("Hw-Account");
+    read.priority = *priority;
+    auto const left =
+        std::min(headers.number("Hw-Deadline-Ms", default_deadline.count()), longest_deadline_ms);
+    read.deadline = now + milliseconds{left};
+    read.method = headers.find("Hw-Method");
+    read.target = headers.find("Hw-Target");
+    // A call that does not say so is taken as one that must not run twice.
+    read.idempotent = headers.find("Hw-Idempotent") == "1";
+    read.incarnation = static_cast<std::uint64_t>(headers.number("Hw-Agent-Incarnation", 0));
+    read.version = headers.find("Hw-Weights-Version");
+    read.last_event_id = headers.find("Last-Event-ID");
+    read.content_type = headers.find("Content-Type");
+    return read;
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/calls/request_gate.cpp
@@ -0,0 +1,443 @@
+#include "hibiscuswall/calls/request_gate.hpp"
+
+#include "gate_state.hpp"
+
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto drain_poll = milliseconds{10};
+
+// Gives the slot back on every way out of a handler.
+struct running_slot {
+    request_gate::state& gate;
+    std::uint64_t id;
+    run_sample sample{};
+
+    running_slot(request_gate::state& owner, std::uint64_t request) : gate{owner}, id{request} {}
+    ~running_slot() { gate.finish_call(id, sample); }
+    running_slot(running_slot const&) = delete;
+    auto operator=(running_slot const&) -> running_slot& = delete;
+};
+
+} // namespace
+
+request_gate::state::state(process_context& shared, config_source& source, endpoint_settings where,
+                           admission_settings limits)
+    : context{shared}, config{source}, endpoint{std::move(where)}, engine{shared.client, endpoint.where,
+                                                                          endpoint.status_timeout},
+      admission{limits}, first_incarnation{shared.self.incarnation}
+{
+}
+
+// ---- requests
+
+auto request_gate::state::refusal(forward_request const& call) const -> result_code
+{
+    auto const now = clock::now();
+    auto const view = config.current();
+    if (leaving) return result_code::endpoint_draining;
+    if (view == nullptr) return result_code::configuration_missing;
+    if (!config.confirmed(now)) return result_code::configuration_unconfirmed;
+    if (!view->in_service(context.self.name, context.self.failure_domain))
+        return result_code::failure_domain_out;
+    auto const ours = call.incarnation >= first_incarnation && call.incarnation <= context.self.incarnation;
+    if (call.incarnation != 0 && !ours) return result_code::agent_restarted;
+    if (!engine_reached) return result_code::endpoint_cold;
+    if (closed != result_code::ok) return closed;
+    if (is_engine() && !call.version.empty() && call.version != ordered->version)
+        return result_code::version_mismatch;
+    if (call.deadline <= now) return result_code::deadline_exceeded;
+    return result_code::ok;
+}
+
+auto request_gate::state::handle(http_request const& request, http_responder& out) -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    auto read = read_forward_request(request, clock::now(), endpoint.default_deadline);
+    auto const call_id = std::string{request.headers.find("Hw-Call-Id")};
+    if (!read) {
+        co_await refuse(out, call_id, read.error().code, read.error().message, ran::no, milliseconds{0});
+        co_return;
+    }
+    auto const& call = read.value();
+    // An engine that takes any order may have been given other weights since the last poll.
+    if (is_engine() && !endpoint.enforces_fencing && closed == result_code::ok) co_await read_engine();
+    auto code = refusal(call);
+    if (code == result_code::ok && !call.idempotent) {
+        code = registry.begin(call.call_id, clock::now());
+        if (code != result_code::ok) {
+            co_await answer_repeat(out, call.call_id, code);
+            co_return;
+        }
+    }
+    if (code != result_code::ok) {
+        co_await refuse(out, call.call_id, code, std::string{describe(code).meaning}, ran::no,
+                        milliseconds{0});
+        co_return;
+    }
+    auto const id = next_id++;
+    auto decision = co_await wait_for_turn(id, call, out);
+    if (decision.code == result_code::ok) {
+        co_await admitted(id, call, request.body, out);
+        co_return;
+    }
+    registry.not_run(call.call_id);
+    co_await refuse(out, call.call_id, decision.code, std::string{describe(decision.code).meaning}, ran::no,
+                    decision.retry_after);
+}
+
+auto request_gate::state::admitted(std::uint64_t id, forward_request call, std::string body,
+                                   http_responder& out) -> asio::awaitable<void>
+{
+    auto slot = running_slot{*this, id};
+    // The configuration or the engine may have changed while the request waited.
+    auto code = refusal(call);
+    if (out.disconnected()) code = result_code::cancelled;
+    if (code != result_code::ok) {
+        registry.not_run(call.call_id);
+        co_await refuse(out, call.call_id, code, std::string{describe(code).meaning}, ran::no,
+                        milliseconds{0});
+        co_return;
+    }
+    if (is_engine()) call.version = ordered->version;
+    context.events.record("call_forwarded", {{"call_id", call.call_id}});
+    auto const started = clock::now();
+    auto outcome = co_await forward(call, std::move(body), out);
+    slot.sample = outcome.sample;
+    record_outcome(call, outcome, clock::now() - started);
+    if (outcome.relayed || outcome.code == result_code::ok) co_return;
+    co_await refuse(out, call.call_id, outcome.code, outcome.message, outcome.execution, milliseconds{0});
+}
+
+auto request_gate::state::record_outcome(forward_request const& call, call_outcome const& outcome,
+                                         clock::duration spent) -> void
+{
+    auto const class_name = request_class_text(call.priority);
+    auto const code = std::string{describe(outcome.code).name};
+    context.measures.observe("endpoint_seconds", {{"class", class_name}},
+                             std::chrono::duration<double>(spent).count());
+    context.measures.count("forwarded_total", {{"class", class_name}, {"result", code}});
+    if (outcome.code == result_code::ok) return;
+    if (!call.idempotent) {
+        if (outcome.execution == ran::no)
+            registry.not_run(call.call_id);
+        else
+            registry.unknown(call.call_id);
+    }
+    auto const execution = std::string{ran_text(outcome.execution)};
+    log_event(log_level::warning, "call_failed",
+              {{"call_id", call.call_id}, {"code", code}, {"ran", execution}, {"reason", outcome.message}});
+    context.events.record("call_failed", {{"call_id", call.call_id}, {"code", code}, {"ran", execution}});
+}
+
+auto request_gate::state::wait_for_turn(std::uint64_t id, forward_request call, http_responder& out)
+    -> asio::awaitable<admission_event>
+{
+    auto const turn = std::make_shared<waiting_call>(context.io);
+    waiting[id] = turn;
+    out.on_disconnect([gate = shared_from_this(), id] {
+        gate->admission.abandon(id);
+        gate->deliver({{id, result_code::cancelled, milliseconds{0}}});
+    });
+    deliver(admission.arrive({id, call.account, weight_of(call.account), call.priority, call.deadline},
+                             clock::now()));
+    if (!turn->decision) {
+        turn->timer.expires_at(call.deadline);
+        co_await turn->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    waiting.erase(id);
+    if (!turn->decision) {
+        admission.abandon(id);
+        turn->decision = admission_event{id, result_code::deadline_exceeded, milliseconds{0}};
+    }
+    co_return *turn->decision;
+}
+
+auto request_gate::state::deliver(admission_controller::events const& events) -> void
+{
+    for (auto const& event : events) {
+        auto const found = waiting.find(event.id);
+        if (found == waiting.end() || found->second->decision) continue;
+        found->second->decision = event;
+        found->second->timer.cancel();
+    }
+}
+
+auto request_gate::state::finish_call(std::uint64_t id, run_sample sample) -> void
+{
+    deliver(admission.finish(id, sample, clock::now()));
+    auto const grown = admission.limit() > admission.cold_limit();
+    if (grown && machine.state() == endpoint_state::warming) move(endpoint_event::warmed);
+    if (!grown && machine.state() == endpoint_state::ready) move(endpoint_event::served);
+    if (leaving && admission.in_flight() == 0) move(endpoint_event::finished);
+    context.measures.set("concurrency_limit", {}, admission.limit());
+    context.measures.set("in_flight", {}, static_cast<double>(admission.in_flight()));
+    context.measures.set("waiting", {}, static_cast<double>(admission.waiting()));
+}
+
+auto request_gate::state::weight_of(std::string const& account) const -> double
+{
+    auto const view = config.current();
+    if (view == nullptr) return 1.0;
+    auto const found = view->accounts.find(account);
+    return found == view->accounts.end() ? 1.0 : found->second.weight;
+}
+
+// ---- answers
+
+auto request_gate::state::add_state_headers(http_headers& headers, std::string_view call_id) const -> void
+{
+    auto const view = config.current();
+    headers.set("Hw-Call-Id", call_id);
+    headers.set("Hw-In-Flight", static_cast<long long>(admission.in_flight() + admission.waiting()));
+    headers.set("Hw-Limit", static_cast<long long>(admission.limit()));
+    headers.set("Hw-Endpoint-State", endpoint_state_text(machine.state()));
+    headers.set("Hw-Weights-Version", ordered ? ordered->version : std::string{});
+    headers.set("Hw-Engine-Instance", instance);
+    headers.set("Hw-Config-Revision", static_cast<long long>(view == nullptr ? 0 : view->revision));
+    headers.set("Hw-Agent-Incarnation", static_cast<long long>(context.self.incarnation));
+}
+
+auto request_gate::state::refuse(http_responder& out, std::string call_id, result_code code,
+                                 std::string message, ran execution, milliseconds retry_after)
+    -> asio::awaitable<void>
+{
+    auto const& info = describe(code);
+    auto const body = nlohmann::json{{"code", static_cast<int>(code)},
+                                     {"name", info.name},
+                                     {"message", message},
+                                     {"ran", ran_text(execution)},
+                                     {"call_id", call_id}};
+    auto response =
+        json_response(info.http_status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    add_state_headers(response.headers, call_id);
+    response.headers.set("Hw-Ran", ran_text(execution));
+    response.headers.set("Hw-Code", static_cast<long long>(code));
+    if (retry_after.count() > 0)
+        response.headers.set("Retry-After", static_cast<long long>((retry_after.count() + 999) / 1'000));
+    context.measures.count("refused_total", {{"code", info.name}, {"ran", ran_text(execution)}});
+    co_await out.send(std::move(response));
+}
+
+// A call id that was seen before: the first answer if it is kept, else why it does not run again.
+auto request_gate::state::answer_repeat(http_responder& out, std::string call_id, result_code code)
+    -> asio::awaitable<void>
+{
+    auto const seen = registry.find(call_id);
+    if (seen && seen->answer) {
+        auto response = http_response{seen->answer->status, {}, seen->answer->body};
+        response.headers.set("Content-Type", seen->answer->content_type);
+        add_state_headers(response.headers, call_id);
+        response.headers.set("Hw-Ran", ran_text(ran::yes));
+        response.headers.set("Hw-Code", 0LL);
+        co_await out.send(std::move(response));
+        co_return;
+    }
+    co_await refuse(out, call_id, code, std::string{describe(code).meaning}, describe(code).outcome,
+                    milliseconds{0});
+}
+
+// ---- lifecycle
+
+auto request_gate::state::move(endpoint_event event) -> void
+{
+    auto const before = machine.state();
+    if (!machine.apply(event) || machine.state() == before) return;
+    auto const from = std::string{endpoint_state_text(before)};
+    auto const to = std::string{endpoint_state_text(machine.state())};
+    context.events.record("endpoint_state", {{"from", from}, {"to", to}});
+    log_event(log_level::info, "endpoint_state",
+              {{"from", from}, {"to", to}, {"limit", std::to_string(admission.limit())}});
+}
+
+auto request_gate::state::stop_new_work(result_code reason) -> void
+{
+    deliver(admission.refuse_waiting(reason));
+}
+
+auto request_gate::state::configuration_changed(config_view const& view) -> void
+{
+    auto const service = view.services.find(endpoint.service);
+    if (service != view.services.end()) deliver(admission.configure(service->second, clock::now()));
+
+    auto const in_service = view.in_service(context.self.name, context.self.failure_domain);
+    if (in_service == was_in_service) return;
+    was_in_service = in_service;
+    context.events.record(in_service ? "in_service" : "out_of_service",
+                          {{"revision", std::to_string(view.revision)}});
+    log_event(log_level::info, in_service ? "in_service" : "out_of_service",
+              {{"revision", std::to_string(view.revision)}});
+    if (!in_service) {
+        stop_new_work(result_code::failure_domain_out);
+        return;
+    }
+    // Caches emptied while nothing ran: load returns as the limit grows.
+    admission.reset();
+    if (machine.state() == endpoint_state::ready) move(endpoint_event::served);
+}
+
+// ---- JSON-RPC
+
+auto request_gate::state::resolve(nlohmann::json const& params) -> result<nlohmann::json>
+{
+    if (!params.contains("call_id") || !params["call_id"].is_string() || !params.contains("incarnation") ||
+        !params["incarnation"].is_number_unsigned())
+        return fail(result_code::request_malformed, "call_id and incarnation are required");
+    auto const incarnation = params["incarnation"].get<std::uint64_t>();
+    if (incarnation < first_incarnation || incarnation > context.self.incarnation)
+        return nlohmann::json{{"state", "other_incarnation"}};
+    auto age = std::optional<milliseconds>{};
+    if (params.contains("age_ms") && params["age_ms"].is_number_integer())
+        age = milliseconds{params["age_ms"].get<long long>()};
+    auto const call_id = params["call_id"].get<std::string>();
+    auto const found = registry.resolve(call_id, age, clock::now());
+    auto answer = nlohmann::json{};
+    switch (found.state) {
+    case call_state::running:
+        answer["state"] = "running";
+        break;
+    case call_state::answered:
+        answer["state"] = "answered";
+        break;
+    case call_state::refused:
+        answer["state"] = "refused";
+        break;
+    case call_state::revoked:
+        answer["state"] = "revoked";
+        break;
+    case call_state::unknown:
+        // Towards the entry the same as another incarnation: the outcome is unknown, it must not run again.
+        answer["state"] = "other_incarnation";
+        break;
+    }
+    if (found.answer)
+        answer["answer"] = {{"status", found.answer->status},
+                            {"content_type", found.answer->content_type},
+                            {"body", found.answer->body}};
+    context.events.record("call_resolved", {{"call_id", call_id}, {"state", answer["state"]}});
+    return answer;
+}
+
+auto request_gate::state::status() const -> nlohmann::json
+{
+    auto const view = config.current();
+    return {{"state", endpoint_state_text(machine.state())},
+            {"admission", describe(leaving ? result_code::endpoint_draining : closed).name},
+            {"limit", admission.limit()},
+            {"cold_limit", admission.cold_limit()},
+            {"in_flight", admission.in_flight()},
+            {"waiting", admission.waiting()},
+            {"weights_version", ordered ? ordered->version : ""},
+            {"manifest_digest", ordered ? ordered->manifest_digest : ""},
+            {"engine_instance", instance},
+            {"config_revision", view == nullptr ? 0 : view->revision}};
+}
+
+auto request_gate::state::add_routes() -> void
+{
+    context.control.add("POST", "/forward",
+                        [gate = shared_from_this()](http_request const& request, http_responder& out) {
+                            return gate->handle(request, out);
+                        });
+    context.rpc.add("call.resolve", [gate = shared_from_this()](nlohmann::json const& params) {
+        return gate->resolve(params);
+    });
+    context.rpc.add("endpoint.status",
+                    [gate = shared_from_this()](nlohmann::json const& /*params*/) -> result<nlohmann::json> {
+                        return gate->status();
+                    });
+}
+
+// ---- public part
+
+request_gate::request_gate(process_context& context, config_source& config, endpoint_settings endpoint,
+                           admission_settings admission)
+    : state_{std::make_shared<state>(context, config, std::move(endpoint), admission)}
+{
+    state_->add_routes();
+}
+
+request_gate::~request_gate() = default;
+
+auto request_gate::start() -> void
+{
+    state_->config.subscribe([gate = state_](config_view const& view) { gate->configuration_changed(view); });
+    if (auto const view = state_->config.current()) state_->configuration_changed(*view);
+    if (state_->is_engine()) {
+        asio::co_spawn(state_->context.io, state_->watch_engine(), asio::detached);
+        return;
+    }
+    state_->closed = result_code::ok;
+    state_->move(endpoint_event::served);
+}
+
+auto request_gate::on_engine_changed(std::function<void(engine_change const&)> callback) -> void
+{
+    state_->engine_changed = std::move(callback);
+}
+
+auto request_gate::begin_leaving() -> void
+{
+    if (state_->leaving) return;
+    state_->leaving = true;
+    state_->context.events.record("leaving", {});
+    state_->move(endpoint_event::leave);
+    state_->stop_new_work(result_code::endpoint_draining);
+    if (state_->admission.in_flight() == 0) state_->move(endpoint_event::finished);
+}
+
+auto request_gate::in_flight() const -> std::size_t
+{
+    return state_->admission.in_flight() + state_->waiting.size();
+}
+
+auto request_gate::drain(milliseconds timeout) -> boost::asio::awaitable<bool>
+{
+    auto gate = state_;
+    gate->closed = result_code::endpoint_draining;
+    gate->move(endpoint_event::drained);
+    gate->stop_new_work(result_code::endpoint_draining);
+    auto const until = clock::now() + timeout;
+    while (gate->admission.in_flight() > 0 && clock::now() < until)
+        co_await sleep_for(drain_poll);
+    co_return gate->admission.in_flight() == 0;
+}
+
+auto request_gate::serve(served_weights const& weights) -> void
+{
+    state_->ordered = weights;
+    state_->closed = result_code::ok;
+    // The next status names the instance: a restart before this call is told by the digest.
+    state_->instance.clear();
+    state_->admission.reset();
+    state_->move(endpoint_event::served);
+    state_->context.events.record("weights_served",
+                                  {{"version", weights.version}, {"digest", weights.manifest_digest}});
+    log_event(log_level::info, "weights_served",
+              {{"model", weights.model}, {"version", weights.version}, {"digest", weights.manifest_digest}});
+}
+
+auto request_gate::close(result_code reason) -> void
+{
+    state_->closed = reason;
+    state_->move(endpoint_event::turned_cold);
+    state_->stop_new_work(reason);
+    state_->context.events.record("admission_closed", {{"code", std::string{describe(reason).name}}});
+    log_event(log_level::info, "admission_closed", {{"code", std::string{describe(reason).name}}});
+}
+
+auto request_gate::serving() const -> std::optional<served_weights>
+{
+    auto const open = state_->closed == result_code::ok && !state_->leaving;
+    return open ? state_->ordered : std::nullopt;
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/lifecycle/endpoint_machine.cpp
@@ -0,0 +1,133 @@
+#include "hibiscuswall/lifecycle/endpoint_machine.hpp"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+namespace msm = boost::msm;
+template<class Source, class Event, class Target>
+using step = msm::front::Row<Source, Event, Target, msm::front::none, msm::front::none>;
+
+// ---- events
+struct served {};
+struct warmed {};
+struct turned_cold {};
+struct drained {};
+struct leave {};
+struct finished {};
+
+struct endpoint_front : msm::front::state_machine_def<endpoint_front> {
+    // ---- states
+    struct cold : msm::front::state<> {};
+    struct warming : msm::front::state<> {};
+    struct ready : msm::front::state<> {};
+    struct draining : msm::front::state<> {};
+    struct leaving : msm::front::state<> {};
+    struct gone : msm::front::state<> {};
+    using initial_state = cold;
+
+    // clang-format off
+    struct transition_table : boost::mpl::vector<
+        step<cold,     served,      warming>,
+        step<cold,     drained,     draining>,
+        step<cold,     leave,       leaving>,
+        step<warming,  served,      warming>,
+        step<warming,  warmed,      ready>,
+        step<warming,  turned_cold, cold>,
+        step<warming,  drained,     draining>,
+        step<warming,  leave,       leaving>,
+        step<ready,    served,      warming>,
+        step<ready,    turned_cold, cold>,
+        step<ready,    drained,     draining>,
+        step<ready,    leave,       leaving>,
+        step<draining, served,      warming>,
+        step<draining, turned_cold, cold>,
+        step<draining, leave,       leaving>,
+        step<leaving,  finished,    gone>
+    > {};
+    // clang-format on
+
+    template<class Machine, class Event>
+    auto no_transition(Event const& /*event*/, Machine& /*machine*/, int /*state*/) -> void
+    {
+    }
+};
+
+using backend = msm::back::state_machine<endpoint_front>;
+
+template<class State>
+constexpr auto id_of = msm::back::get_state_id<backend::stt, State>::value;
+
+} // namespace
+
+struct endpoint_machine::implementation {
+    backend machine;
+
+    template<class Event>
+    auto process(Event const& event) -> bool
+    {
+        return machine.process_event(event) == msm::back::HANDLED_TRUE;
+    }
+};
+
+endpoint_machine::endpoint_machine() : implementation_{std::make_unique<implementation>()}
+{
+    implementation_->machine.start();
+}
+
+endpoint_machine::~endpoint_machine() = default;
+
+auto endpoint_machine::apply(endpoint_event event) -> bool
+{
+    switch (event) {
+    case endpoint_event::served:
+        return implementation_->process(served{});
+    case endpoint_event::warmed:
+        return implementation_->process(warmed{});
+    case endpoint_event::turned_cold:
+        return implementation_->process(turned_cold{});
+    case endpoint_event::drained:
+        return implementation_->process(drained{});
+    case endpoint_event::leave:
+        return implementation_->process(leave{});
+    case endpoint_event::finished:
+        return implementation_->process(finished{});
+    }
+    return false;
+}
+
+auto endpoint_machine::state() const -> endpoint_state
+{
+    auto const id = implementation_->machine.current_state()[0];
+    if (id == id_of<endpoint_front::warming>) return endpoint_state::warming;
+    if (id == id_of<endpoint_front::ready>) return endpoint_state::ready;
+    if (id == id_of<endpoint_front::draining>) return endpoint_state::draining;
+    if (id == id_of<endpoint_front::leaving>) return endpoint_state::leaving;
+    if (id == id_of<endpoint_front::gone>) return endpoint_state::gone;
+    return endpoint_state::cold;
+}
+
+auto endpoint_state_text(endpoint_state state) -> std::string_view
+{
+    switch (state) {
+    case endpoint_state::cold:
+        return "cold";
+    case endpoint_state::warming:
+        return "warming";
+    case endpoint_state::ready:
+        return "ready";
+    case endpoint_state::draining:
+        return "draining";
+    case endpoint_state::leaving:
+        return "leaving";
+    case endpoint_state::gone:
+        return "gone";
+    }
+    return "cold";
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/platform/engine_client.cpp
@@ -0,0 +1,91 @@
+#include "hibiscuswall/platform/engine_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+// A load order reads the weights from the agent before it answers.
+constexpr auto load_timeout = milliseconds{120'000};
+
+auto to_state(std::string const& text) -> engine_state
+{
+    if (text == "ready") return engine_state::ready;
+    if (text == "warming") return engine_state::warming;
+    return engine_state::cold;
+}
+
+auto to_status(nlohmann::json const& body) -> engine_status
+{
+    auto status = engine_status{};
+    status.instance = body.value("instance", "");
+    status.state = to_state(body.value("state", ""));
+    status.model = body.value("model", "");
+    status.adapter = body.value("adapter", "");
+    status.version = body.value("version", "");
+    status.manifest_digest = body.value("manifest_digest", "");
+    status.fencing = body.value("fencing", std::uint64_t{0});
+    status.running = body.value("running", 0);
+    status.queued = body.value("queued", 0);
+    status.load_age = milliseconds{body.value("load_age_ms", 0LL)};
+    return status;
+}
+
+} // namespace
+
+auto engine_client::status() -> asio::awaitable<result<engine_status>>
+{
+    auto options = http_call_options{};
+    options.timeout = timeout_;
+    options.connect_timeout = timeout_;
+    auto answer = co_await client_.fetch(where_, {"GET", "/v1/status", {}, {}}, options);
+    if (!answer) co_return answer.error();
+    if (answer.value().status != 200)
+        co_return fail(result_code::unexpected_status,
+                       "engine status: " + std::to_string(answer.value().status));
+    try {
+        co_return to_status(nlohmann::json::parse(answer.value().body));
+    } catch (nlohmann::json::exception const& problem) {
+        co_return fail(result_code::response_malformed, std::string{"engine status: "} + problem.what());
+    }
+}
+
+auto engine_client::load(load_order order) -> asio::awaitable<result<void>>
+{
+    auto const body = nlohmann::json{{"order", "load"},
+                                     {"model", order.model},
+                                     {"adapter", order.adapter},
+                                     {"version", order.version},
+                                     {"manifest_digest", order.manifest_digest},
+                                     {"fencing", order.fencing},
+                                     {"source", order.source.text()}};
+    auto request = http_request{"POST", "/v1/orders", {}, body.dump()};
+    request.headers.set("Content-Type", "application/json");
+    auto options = http_call_options{};
+    options.timeout = load_timeout;
+    options.connect_timeout = timeout_;
+    options.fresh_connection = true;
+    auto answer = co_await client_.fetch(where_, std::move(request), options);
+    if (!answer) co_return answer.error();
+    if (answer.value().status == 409)
+        co_return fail(result_code::fencing_outdated, "fencing number " + std::to_string(order.fencing));
+    if (answer.value().status != 200)
+        co_return fail(result_code::load_rejected, "engine: status " + std::to_string(answer.value().status) +
+                                                       ": " + answer.value().body.substr(0, 200));
+    co_return success();
+}
+
+auto engine_client::cancel(std::string request_id) -> asio::awaitable<result<void>>
+{
+    auto options = http_call_options{};
+    options.timeout = timeout_;
+    options.connect_timeout = timeout_;
+    auto request = http_request{"POST", "/v1/cancel/" + percent_encode(request_id)};
+    auto answer = co_await client_.fetch(where_, std::move(request), options);
+    if (!answer) co_return answer.error();
+    if (answer.value().status != 200 && answer.value().status != 404)
+        co_return fail(result_code::unexpected_status, "cancel: " + std::to_string(answer.value().status));
+    co_return success();
+}
+
+} // namespace hibiscuswall
