Add configuration, membership and the resource API

Resources are validated field by field, stored as content-addressed objects under one root, written by one compare-and-swap with a write id, and passed on by watches, a push tree and gossip. A superseded write is recognised by the list of recent writes in the root. Builds; not yet covered by tests.

--- /dev/null
+++ b/include/hibiscuswall/config/config_service.hpp
@@ -0,0 +1,86 @@
+#pragma once
+// Distribution of the configuration: reads it from the store or peers, keeps the newest revision, passes it
+// on, and writes changes by one compare-and-swap.
+//
+//   auto config = config_service{context, kv, members, settings};
+//   config.start();
+//   auto revision = co_await config.apply(change);
+//   // errors: resource_invalid, revision_conflict (names the write that came first), store_unavailable
+//   //         (nothing written), write_outcome_unknown
+//
+// Registers the rpc methods config.push and config.fetch.
+
+#include "hibiscuswall/config/config_settings.hpp"
+#include "hibiscuswall/config/config_state.hpp"
+#include "hibiscuswall/config/config_writer.hpp"
+#include "hibiscuswall/core/process_context.hpp"
+#include "hibiscuswall/membership/member_source.hpp"
+#include "hibiscuswall/platform/key_value_client.hpp"
+
+namespace hibiscuswall {
+
+class config_service : public config_source {
+public:
+    config_service(process_context& context, key_value_client& store, member_source& members,
+                   config_settings settings);
+
+    auto start() -> void;
+
+    [[nodiscard]] auto current() const -> config_view_ptr override { return state_.current(); }
+    [[nodiscard]] auto confirmed(time_point now) const -> bool override { return state_.confirmed(now); }
+    auto subscribe(std::function<void(config_view const&)> changed) -> void override;
+
+    [[nodiscard]] auto state() const -> config_state const& { return state_; }
+
+    // Writes a change and puts it in force here; gives its revision.
+    auto apply(config_change change) -> asio::awaitable<result<std::uint64_t>>;
+
+    // Reads the root from the store and what it lacks of objects.
+    auto refresh() -> asio::awaitable<result<void>>;
+
+    // What gossip learned of a peer; fetches from it when it has a newer revision. asked_at: when the
+    // exchange began. A peer that is itself unconfirmed after a pause sends no age.
+    auto heard_from(address peer, std::uint64_t revision, std::optional<milliseconds> confirmed_age,
+                    time_point asked_at) -> void;
+
+    // Fields of peer.exchange: config_revision and, unless paused, confirmed_age_ms.
+    auto describe_to_peer(nlohmann::json& message, time_point now) const -> void;
+
+private:
+    auto adopt(config_document document, time_point confirmed_at, std::string_view source) -> bool;
+    auto add_methods() -> void;
+    auto accept_push(nlohmann::json const& params) -> result<nlohmann::json>;
+    auto answer_fetch(nlohmann::json const& params) const -> result<nlohmann::json>;
+
+    // ---- loops
+    auto start_loop() -> asio::awaitable<void>;
+    auto watch_loop() -> asio::awaitable<void>;
+    auto watch_once() -> asio::awaitable<bool>;
+    auto tick_loop() -> asio::awaitable<void>;
+    auto collect_loop() -> asio::awaitable<void>;
+    auto confirm_after_pause() -> asio::awaitable<void>;
+
+    // ---- peers
+    auto fetch_from(address peer) -> asio::awaitable<result<void>>;
+    auto fetch_in_background(address peer) -> asio::awaitable<void>;
+    auto random_peers(std::size_t count) const -> std::vector<member>;
+    auto push_out(std::string_view source) -> void;
+    auto push_to(std::vector<std::string> order, std::string name, bool with_subtree)
+        -> asio::awaitable<void>;
+    auto push_once(member peer) -> asio::awaitable<bool>;
+
+    // ---- store
+    auto load_root(key_value_entry entry, time_point asked_at, std::string source)
+        -> asio::awaitable<result<void>>;
+
+    process_context& context_;
+    key_value_client& store_;
+    member_source& members_;
+    config_settings settings_;
+    config_state state_;
+    config_writer writer_;
+    std::vector<std::function<void(config_view const&)>> subscribers_;
+    bool fetching_ = false;
+};
+
+} // namespace hibiscuswall
--- a/include/hibiscuswall/config/resource.hpp
+++ b/include/hibiscuswall/config/resource.hpp
@@ -30,7 +30,8 @@
     std::string version;                      // weights version
     std::string service;                      // service whose endpoints serve it
     std::vector<std::string> failure_domains; // where it is served
-    int batch = 1;                            // hosts of one failure domain that may switch at a time
+    int batch =
+        1; // hosts of one failure domain that may switch at a time; Policy.activation_batch when absent
 };
 
 struct failure_domain_resource {
@@ -71,6 +72,7 @@
     milliseconds max_unconfirmed{0};   // 0: serve on while the store cannot be reached
     double retry_budget_ratio = 0.1;   // retries per request
     bool allow_account_header = false; // accept X-Account in place of a bearer key
+    int activation_batch = 1;          // batch of every ModelServing that declares none
     milliseconds hedge_delay{0};       // 0: no hedging
 };
 
--- /dev/null
+++ b/include/hibiscuswall/membership/gossip_service.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// Keeps the member table up to date: reads the host list, exchanges news with one random peer a second
+// (peer.exchange), refutes rumours about this process and announces its leaving.
+//
+//   auto gossip = gossip_service{context, table, config, host_list, settings};
+//   gossip.start();
+//   co_await gossip.announce_leaving();      // first step of a graceful stop
+
+#include "hibiscuswall/config/config_service.hpp"
+#include "hibiscuswall/core/process_context.hpp"
+#include "hibiscuswall/membership/member_table.hpp"
+#include "hibiscuswall/platform/host_list_client.hpp"
+
+namespace hibiscuswall {
+
+class gossip_service {
+public:
+    gossip_service(process_context& context, member_table& table, config_service& config,
+                   host_list_client& host_list, membership_settings settings);
+
+    auto start() -> void;
+
+    // Marks this process as leaving and tells a bounded number of peers at once, entries first.
+    auto announce_leaving() -> asio::awaitable<void>;
+
+private:
+    auto host_list_loop() -> asio::awaitable<void>;
+    auto exchange_loop() -> asio::awaitable<void>;
+    auto exchange_with(member peer) -> asio::awaitable<void>;
+    auto answer_exchange(nlohmann::json const& params) -> result<nlohmann::json>;
+    auto message_for(std::string const& peer_name) -> nlohmann::json;
+    auto take_members(nlohmann::json const& message, time_point now) -> void;
+    auto hear_about_self(member const& report) -> void;
+    auto choose_peers() -> std::vector<member>;
+
+    process_context& context_;
+    member_table& table_;
+    config_service& config_;
+    host_list_client& host_list_;
+    membership_settings settings_;
+    bool listed_leaving_ = false; // the host list's last word about this process
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/config/config_peers.cpp
@@ -0,0 +1,227 @@
+// The part of config_service that talks to peers: pushes along the tree and fetches.
+#include "hibiscuswall/config/config_service.hpp"
+#include "hibiscuswall/config/push_tree.hpp"
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <set>
+
+// GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace hibiscuswall {
+namespace {
+
+auto age_from(nlohmann::json const& message) -> std::optional<milliseconds>
+{
+    auto const found = message.find("confirmed_age_ms");
+    if (found == message.end() || !found->is_number_integer() || found->get<long long>() < 0)
+        return std::nullopt;
+    return milliseconds{found->get<long long>()};
+}
+
+// Oldest confirmation: a peer that does not know its own age confirms nothing.
+auto confirmed_at(time_point asked_at, std::optional<milliseconds> age) -> time_point
+{
+    return age ? asked_at - *age : time_point{};
+}
+
+} // namespace
+
+auto config_service::add_methods() -> void
+{
+    context_.rpc.add("config.push", [this](nlohmann::json const& params) { return accept_push(params); });
+    context_.rpc.add("config.fetch", [this](nlohmann::json const& params) { return answer_fetch(params); });
+}
+
+auto config_service::describe_to_peer(nlohmann::json& message, time_point now) const -> void
+{
+    message["config_revision"] = state_.revision();
+    if (state_.document() && !state_.paused(now))
+        message["confirmed_age_ms"] = state_.confirmed_age(now).count();
+}
+
+// ---- pushes
+
+auto config_service::accept_push(nlohmann::json const& params) -> result<nlohmann::json>
+{
+    auto parsed = delta_from_json(params);
+    if (!parsed) return parsed.error();
+    auto const& delta = parsed.value();
+    auto const now = clock::now();
+    auto const confirmed = confirmed_at(now, age_from(params));
+    if (state_.document() && delta.revision <= state_.revision()) {
+        state_.confirm(delta.revision, confirmed);
+        return nlohmann::json{{"revision", state_.revision()}};
+    }
+    auto const empty = config_document{};
+    auto const base = state_.recent(delta.from_revision);
+    // Without the document that the delta starts from, the answer tells the sender what to start from.
+    if (delta.from_revision != 0 && !base) {
+        context_.measures.count("config_push_gaps_total");
+        return nlohmann::json{{"revision", state_.revision()}};
+    }
+    auto next = apply_delta(delta.from_revision == 0 ? empty : *base, delta);
+    if (!next) {
+        log_event(log_level::warning, "config_push_refused", {{"reason", next.error().message}});
+        return next.error();
+    }
+    adopt(std::move(next).value(), confirmed, "push");
+    return nlohmann::json{{"revision", state_.revision()}};
+}
+
+auto config_service::push_out(std::string_view source) -> void
+{
+    auto const known = members_.members();
+    auto const& self = context_.self;
+    auto const begin_push = [&](std::vector<std::string> const& order, std::string const& name) {
+        if (name != self.name) asio::co_spawn(context_.io, push_to(order, name, true), asio::detached);
+    };
+    auto const order = push_order(self, known, self.failure_domain);
+    for (auto const& child : push_children(order, self.name, settings_.fan_out))
+        begin_push(order, child);
+    if (source == "push") return;
+    // News that did not come down the tree goes to its root; a write also to the roots of the other failure
+    // domains, so that it spreads while the store's watches are down.
+    if (!order.empty()) begin_push(order, order.front());
+    if (source != "apply") return;
+    auto domains = std::set<std::string>{};
+    for (auto const& peer : known)
+        if (peer.failure_domain != self.failure_domain) domains.insert(peer.failure_domain);
+    for (auto const& domain : domains) {
+        auto const there = push_order(self, known, domain);
+        if (!there.empty()) begin_push(there, there.front());
+    }
+}
+
+auto config_service::push_to(std::vector<std::string> order, std::string name, bool with_subtree)
+    -> asio::awaitable<void>
+{
+    auto reached = false;
+    if (auto const* found = members_.find(name); found != nullptr) {
+        auto const peer = *found;
+        reached = co_await push_once(peer);
+    }
+    if (reached || !with_subtree) co_return;
+    // A node that does not answer must not cut off its subtree.
+    for (auto const& child : push_children(order, name, settings_.fan_out))
+        if (child != context_.self.name)
+            asio::co_spawn(context_.io, push_to(order, child, true), asio::detached);
+}
+
+auto config_service::push_once(member peer) -> asio::awaitable<bool>
+{
+    auto peer_revision = peer.config_revision;
+    for (auto attempt = 0; attempt < 2; ++attempt) {
+        auto const document = state_.document();
+        if (peer_revision >= document->revision) co_return true;
+        auto const base = peer_revision == 0 ? nullptr : state_.recent(peer_revision);
+        auto const empty = config_document{};
+        auto message = to_json(make_delta(base ? *base : empty, *document));
+        message["confirmed_age_ms"] = state_.confirmed_age(clock::now()).count();
+        auto answer = co_await rpc_call(context_.client, peer.control, "config.push", std::move(message),
+                                        settings_.peer_timeout);
+        context_.measures.count("config_pushes_total", {{"result", answer ? "ok" : "failed"}});
+        if (!answer) co_return false;
+        auto const& body = answer.value();
+        if (!body.is_object() || !body.contains("revision") || !body["revision"].is_number_unsigned())
+            co_return false;
+        peer_revision = body["revision"].get<std::uint64_t>();
+        if (peer_revision > document->revision) {
+            co_await fetch_from(peer.control);
+            co_return true;
+        }
+    }
+    co_return peer_revision >= state_.revision();
+}
+
+// ---- fetches
+
+auto config_service::answer_fetch(nlohmann::json const& params) const -> result<nlohmann::json>
+{
+    auto const given = params.find("have_revision");
+    if (given == params.end() || !given->is_number_unsigned())
+        return fail(result_code::request_malformed, "have_revision: must be a number");
+    auto const document = state_.document();
+    if (!document) return fail(result_code::configuration_missing, "no configuration yet");
+    auto const have = given->get<std::uint64_t>();
+    auto answer = nlohmann::json{{"revision", document->revision}, {"write_id", document->write_id}};
+    auto const now = clock::now();
+    if (!state_.paused(now)) answer["confirmed_age_ms"] = state_.confirmed_age(now).count();
+    if (have >= document->revision) return answer; // nothing newer: no resources
+    auto const base = have == 0 ? nullptr : state_.recent(have);
+    auto delta = to_json(make_delta(base ? *base : config_document{}, *document));
+    answer["resources"] = document->resources;
+    answer["objects"] = std::move(delta["objects"]);
+    answer["recent"] = std::move(delta["recent"]);
+    return answer;
+}
+
+auto config_service::fetch_from(address peer) -> asio::awaitable<result<void>>
+{
+    auto const asked_at = clock::now();
+    auto params = nlohmann::json{{"have_revision", state_.revision()}};
+    auto answer =
+        co_await rpc_call(context_.client, peer, "config.fetch", std::move(params), settings_.peer_timeout);
+    if (!answer) co_return answer.error();
+    auto body = std::move(answer).value();
+    if (!body.is_object() || !body.contains("revision") || !body["revision"].is_number_unsigned())
+        co_return fail(result_code::response_malformed, "config.fetch: no revision");
+    auto const age = age_from(body);
+    auto const revision = body["revision"].get<std::uint64_t>();
+    if (body.contains("resources") && (!state_.document() || revision > state_.revision())) {
+        body["from_revision"] = 0;
+        body["changed"] = std::move(body["resources"]);
+        auto delta = delta_from_json(body);
+        if (!delta) co_return delta.error();
+        auto whole = std::move(delta).value();
+        if (auto const own = state_.document())
+            whole.objects.insert(own->objects.begin(), own->objects.end());
+        auto next = apply_delta(config_document{}, whole);
+        if (!next) co_return next.error();
+        auto document = std::move(next).value();
+        adopt(std::move(document), confirmed_at(asked_at, age), "fetch");
+    }
+    if (revision == 0 && !state_.document() && age) adopt({}, confirmed_at(asked_at, age), "fetch");
+    if (age && state_.document() && revision == state_.revision()) {
+        state_.confirm(revision, asked_at - *age);
+        state_.end_pause(asked_at);
+    }
+    co_return success();
+}
+
+auto config_service::fetch_in_background(address peer) -> asio::awaitable<void>
+{
+    auto const fetched = co_await fetch_from(std::move(peer));
+    fetching_ = false;
+    if (!fetched) log_event(log_level::warning, "config_fetch_failed", {{"reason", fetched.error().message}});
+}
+
+auto config_service::heard_from(address peer, std::uint64_t revision,
+                                std::optional<milliseconds> confirmed_age, time_point asked_at) -> void
+{
+    if (!state_.document()) return; // start_loop() is at work
+    if (revision > state_.revision()) {
+        if (fetching_) return;
+        fetching_ = true;
+        asio::co_spawn(context_.io, fetch_in_background(std::move(peer)), asio::detached);
+        return;
+    }
+    if (revision < state_.revision() || !confirmed_age) return;
+    state_.confirm(revision, asked_at - *confirmed_age);
+    state_.end_pause(asked_at);
+}
+
+auto config_service::random_peers(std::size_t count) const -> std::vector<member>
+{
+    auto peers = members_.members();
+    std::erase_if(peers, [](auto const& peer) { return peer.state == member_state::dead; });
+    std::shuffle(peers.begin(), peers.end(), context_.random.engine());
+    if (peers.size() > count) peers.resize(count);
+    return peers;
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/config/config_service.cpp
@@ -0,0 +1,241 @@
+#include "hibiscuswall/config/config_service.hpp"
+
+#include "hibiscuswall/config/push_tree.hpp"
+#include "hibiscuswall/core/rendezvous.hpp"
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto peers_asked = std::size_t{3};   // at start and after a pause
+constexpr auto role_check = milliseconds{200}; // how soon a new watcher notices its role
+constexpr auto paused_rounds_limit = 3;        // see confirm_after_pause()
+
+} // namespace
+
+config_service::config_service(process_context& context, key_value_client& store, member_source& members,
+                               config_settings settings)
+    : context_{context}, store_{store}, members_{members}, settings_{settings},
+      state_{settings.pause_threshold}, writer_{store, settings}
+{
+    add_methods();
+}
+
+auto config_service::start() -> void
+{
+    asio::co_spawn(context_.io, start_loop(), asio::detached);
+    asio::co_spawn(context_.io, watch_loop(), asio::detached);
+    asio::co_spawn(context_.io, tick_loop(), asio::detached);
+    if (context_.self.role == member_role::entry) asio::co_spawn(context_.io, collect_loop(), asio::detached);
+}
+
+auto config_service::subscribe(std::function<void(config_view const&)> changed) -> void
+{
+    subscribers_.push_back(std::move(changed));
+}
+
+auto config_service::adopt(config_document document, time_point confirmed_at, std::string_view source) -> bool
+{
+    auto const revision = document.revision;
+    auto const write_id = document.write_id;
+    if (!state_.adopt(std::move(document), confirmed_at)) return false;
+    context_.self.config_revision = revision;
+    log_event(
+        log_level::info, "config_applied",
+        {{"revision", std::to_string(revision)}, {"write_id", write_id}, {"source", std::string{source}}});
+    context_.events.record(
+        "config_applied",
+        {{"revision", std::to_string(revision)}, {"write_id", write_id}, {"source", std::string{source}}});
+    context_.measures.set("config_revision", {}, static_cast<double>(revision));
+    context_.measures.count("config_applied_total", {{"source", source}});
+    for (auto const& key : state_.skipped())
+        log_event(log_level::warning, "resource_skipped", {{"resource", key}});
+    auto const view = state_.current();
+    for (auto const& notify : subscribers_)
+        notify(*view);
+    push_out(source);
+    return true;
+}
+
+// ---- writes
+
+auto config_service::apply(config_change change) -> asio::awaitable<result<std::uint64_t>>
+{
+    auto const write_id = change.write_id;
+    auto const asked_at = clock::now();
+    auto written = co_await writer_.write(std::move(change), state_.document());
+    if (!written) {
+        auto const& info = describe(written.error().code);
+        context_.measures.count("config_writes_total", {{"result", info.name}});
+        log_event(
+            log_level::warning, "config_write_failed",
+            {{"write_id", write_id}, {"code", std::string{info.name}}, {"reason", written.error().message}});
+        co_return written.error();
+    }
+    auto document = std::move(written).value();
+    auto const revision = document.revision_of(write_id).value_or(document.revision);
+    context_.measures.count("config_writes_total", {{"result", "ok"}});
+    context_.events.record("config_accepted",
+                           {{"revision", std::to_string(revision)}, {"write_id", write_id}});
+    adopt(std::move(document), asked_at, "apply");
+    co_return revision;
+}
+
+auto config_service::refresh() -> asio::awaitable<result<void>>
+{
+    auto const asked_at = clock::now();
+    auto document = co_await writer_.read(state_.document());
+    if (!document) co_return document.error();
+    auto read = std::move(document).value();
+    auto const newest = read.revision >= state_.revision();
+    adopt(std::move(read), asked_at, "store");
+    // A store that shows a lower revision than one it accepted before confirms nothing.
+    if (newest) state_.end_pause(asked_at);
+    co_return success();
+}
+
+// ---- loops
+
+auto config_service::start_loop() -> asio::awaitable<void>
+{
+    auto delay = settings_.retry_delay;
+    while (!state_.document()) {
+        for (auto const& peer : random_peers(peers_asked))
+            co_await fetch_from(peer.control);
+        auto read = co_await refresh();
+        if (state_.document()) break;
+        log_event(log_level::warning, "config_missing", {{"reason", read.error().message}});
+        auto const jitter = static_cast<long long>(context_.random.below(100));
+        co_await sleep_for(delay + milliseconds{jitter});
+        delay = std::min(delay * 2, settings_.retry_limit);
+    }
+}
+
+auto config_service::watch_loop() -> asio::awaitable<void>
+{
+    auto delay = settings_.retry_delay;
+    auto watching = false;
+    while (true) {
+        auto const known = members_.members();
+        auto const order = push_order(context_.self, known, context_.self.failure_domain);
+        auto const chosen = state_.document() && is_watcher(order, context_.self.name);
+        if (chosen != watching) {
+            watching = chosen;
+            context_.measures.set("config_watching", {}, watching ? 1 : 0);
+            context_.events.record(watching ? "config_watch_begun" : "config_watch_ended", {});
+        }
+        if (!watching) {
+            co_await sleep_for(role_check);
+            continue;
+        }
+        if (co_await watch_once()) {
+            delay = settings_.retry_delay;
+            continue;
+        }
+        co_await sleep_for(delay);
+        delay = std::min(delay * 2, settings_.retry_limit);
+    }
+}
+
+auto config_service::watch_once() -> asio::awaitable<bool>
+{
+    auto const asked_at = clock::now();
+    auto const revision = state_.revision();
+    context_.measures.count("config_watch_calls_total");
+    auto answer = co_await store_.watch(config_root_key, revision, settings_.watch_wait);
+    if (!answer) {
+        context_.measures.count("config_watch_failures_total");
+        log_event(log_level::warning, "config_watch_failed", {{"reason", answer.error().message}});
+        co_return false;
+    }
+    if (!answer.value()) {
+        state_.confirm(revision, asked_at);
+        if (revision == state_.revision()) state_.end_pause(asked_at);
+        co_return true;
+    }
+    auto entry = std::move(*answer.value());
+    auto loaded = co_await load_root(std::move(entry), asked_at, "watch");
+    if (!loaded) log_event(log_level::warning, "config_load_failed", {{"reason", loaded.error().message}});
+    co_return loaded.has_value();
+}
+
+auto config_service::load_root(key_value_entry entry, time_point asked_at, std::string source)
+    -> asio::awaitable<result<void>>
+{
+    auto root = parse_root(entry.value, entry.revision);
+    if (!root) co_return root.error();
+    auto bare = std::move(root).value();
+    auto whole = co_await writer_.complete(std::move(bare), state_.document());
+    if (!whole) co_return whole.error();
+    auto document = std::move(whole).value();
+    adopt(std::move(document), asked_at, source);
+    co_return success();
+}
+
+auto config_service::tick_loop() -> asio::awaitable<void>
+{
+    while (true) {
+        auto const now = clock::now();
+        if (state_.tick(now)) {
+            log_event(log_level::warning, "pause_detected", {});
+            context_.events.record("pause_detected", {});
+            context_.measures.count("pauses_total");
+            asio::co_spawn(context_.io, confirm_after_pause(), asio::detached);
+        }
+        auto const age = std::chrono::duration<double>(state_.confirmed_age(now)).count();
+        if (state_.document()) context_.measures.set("config_confirmed_age_seconds", {}, age);
+        co_await sleep_for(settings_.tick);
+    }
+}
+
+auto config_service::confirm_after_pause() -> asio::awaitable<void>
+{
+    auto all_paused_rounds = 0;
+    while (state_.paused(clock::now()) && state_.document()) {
+        auto const read = co_await refresh();
+        if (read && !state_.paused(clock::now())) break;
+        auto asked = 0;
+        auto answered = 0;
+        for (auto const& peer : random_peers(peers_asked)) {
+            ++asked;
+            auto const fetched = co_await fetch_from(peer.control);
+            if (fetched) ++answered;
+        }
+        if (!state_.paused(clock::now())) break;
+        // When the store is down and every peer was paused as well (a stalled host or network of hosts), none
+        // of them could ever confirm another. No peer has a newer revision, so the pause ends.
+        if (asked > 0 && answered == asked && ++all_paused_rounds >= paused_rounds_limit) {
+            log_event(log_level::warning, "pause_ended_by_paused_peers", {});
+            state_.end_pause(clock::now());
+            break;
+        }
+        co_await sleep_for(settings_.retry_delay);
+    }
+    context_.events.record("pause_confirmed", {{"revision", std::to_string(state_.revision())}});
+}
+
+auto config_service::collect_loop() -> asio::awaitable<void>
+{
+    while (true) {
+        co_await sleep_for(settings_.collect_interval);
+        auto names = std::vector<std::string>{context_.self.name};
+        for (auto const& peer : members_.members())
+            if (peer.role == member_role::entry && peer.state == member_state::alive)
+                names.push_back(peer.name);
+        if (rendezvous_rank("collect", names).front() != context_.self.name) continue;
+        auto collected = co_await writer_.collect();
+        if (collected && collected.value() > 0) {
+            log_event(log_level::info, "objects_collected", {{"count", std::to_string(collected.value())}});
+            context_.measures.count("config_objects_collected_total", {},
+                                    static_cast<double>(collected.value()));
+        }
+    }
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/config/config_writer.cpp
@@ -0,0 +1,198 @@
+#include "hibiscuswall/config/config_writer.hpp"
+
+#include "hibiscuswall/core/sha256.hpp"
+#include "hibiscuswall/core/sleep.hpp"
+
+#include <algorithm>
+#include <set>
+
+// GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace hibiscuswall {
+namespace {
+
+auto joined(std::vector<std::string> const& lines) -> std::string
+{
+    auto text = std::string{};
+    for (auto const& line : lines)
+        text += (text.empty() ? "" : "; ") + line;
+    return text;
+}
+
+auto superseded(config_document const& winner) -> error
+{
+    return fail(result_code::revision_conflict, "superseded by revision " + std::to_string(winner.revision) +
+                                                    " (write " + winner.write_id + ")");
+}
+
+// The document after the change, or why it is refused.
+auto changed(config_document const& base, config_change const& change) -> result<config_document>
+{
+    if (change.expect_revision && *change.expect_revision != base.revision) return superseded(base);
+    for (auto const& key : change.deletions)
+        if (!base.resources.contains(key)) return fail(result_code::resource_not_found, key);
+    auto next = base.with(change.puts, change.deletions, change.write_id);
+    auto const errors = next.validate();
+    if (!errors.empty()) return fail(result_code::resource_invalid, joined(errors));
+    return next;
+}
+
+} // namespace
+
+auto config_writer::read(std::shared_ptr<config_document const> known)
+    -> asio::awaitable<result<config_document>>
+{
+    auto found = co_await store_.find(config_root_key);
+    if (!found) co_return found.error();
+    if (!found.value()) co_return config_document{};
+    auto root = parse_root(found.value()->value, found.value()->revision);
+    if (!root) co_return root.error();
+    auto bare = std::move(root).value();
+    co_return co_await complete(std::move(bare), std::move(known));
+}
+
+auto config_writer::complete(config_document root, std::shared_ptr<config_document const> known)
+    -> asio::awaitable<result<config_document>>
+{
+    for (auto const& digest : root.missing_objects()) {
+        if (known) {
+            if (auto const held = known->objects.find(digest); held != known->objects.end()) {
+                root.objects[digest] = held->second;
+                continue;
+            }
+        }
+        auto found = co_await store_.find(config_object_prefix + digest);
+        if (!found) co_return found.error();
+        if (!found.value() || sha256(found.value()->value) != digest)
+            co_return fail(result_code::response_malformed, "object " + digest + " is missing or altered");
+        root.objects[digest] = found.value()->value;
+    }
+    co_return root;
+}
+
+auto config_writer::write(config_change change, std::shared_ptr<config_document const> known)
+    -> asio::awaitable<result<config_document>>
+{
+    auto const begun = clock::now();
+    auto read_base = co_await read(std::move(known));
+    if (!read_base) co_return read_base.error();
+    auto const base = std::move(read_base).value();
+    if (auto const earlier = base.revision_of(change.write_id)) {
+        auto same = base; // a repeat of a write that took effect
+        co_return same;
+    }
+    auto planned = changed(base, change);
+    if (!planned) co_return planned.error();
+    auto const next = std::move(planned).value();
+    auto stored = co_await store_objects(next, base);
+    if (!stored) co_return stored.error();
+    // The collection spares objects for collect_grace after they were stored. A process that was paused in
+    // between must not name objects that may be gone.
+    if (clock::now() - begun > settings_.collect_grace / 2)
+        co_return fail(result_code::store_unavailable, "the write took too long; nothing was changed");
+    co_return co_await swap_root(next, base.revision);
+}
+
+auto config_writer::store_objects(config_document next, config_document base) -> asio::awaitable<result<void>>
+{
+    for (auto const& [digest, text] : next.objects) {
+        if (base.objects.contains(digest)) continue;
+        // Unconditional, so that an object that is about to be collected gets a new revision and stays.
+        auto put = co_await store_.put(config_object_prefix + digest, text, std::nullopt);
+        if (!put && put.error().code == result_code::write_outcome_unknown)
+            put = co_await store_.put(config_object_prefix + digest, text, std::nullopt);
+        if (!put) {
+            auto const code = put.error().code == result_code::resource_invalid
+                                  ? result_code::resource_invalid
+                                  : result_code::store_unavailable;
+            co_return fail(code, put.error().message);
+        }
+    }
+    co_return success();
+}
+
+auto config_writer::swap_root(config_document next, std::uint64_t expect)
+    -> asio::awaitable<result<config_document>>
+{
+    auto const deadline = clock::now() + settings_.apply_timeout;
+    auto maybe_sent = false; // an attempt whose outcome is unknown lies behind
+    auto delay = settings_.retry_delay;
+    while (true) {
+        auto put = co_await store_.put(config_root_key, next.root_text(), expect);
+        if (put) {
+            next.revision = put.value();
+            co_return next;
+        }
+        auto const code = put.error().code;
+        if (code == result_code::store_unavailable && !maybe_sent) co_return put.error();
+        if (code == result_code::resource_invalid) co_return put.error();
+        if (code == result_code::write_outcome_unknown) maybe_sent = true;
+        // A repeat with the same expected revision is safe: only one of the attempts can succeed. It also
+        // settles an attempt that is still on its way, which reading alone could not.
+        auto seen = co_await resolve(next, expect);
+        if (seen && seen.value()) co_return std::move(*seen.value());
+        if (!seen && seen.error().code == result_code::revision_conflict) co_return seen.error();
+        if (clock::now() + delay > deadline)
+            co_return fail(result_code::write_outcome_unknown,
+                           "write " + next.write_id + " was sent, but the store did not confirm it");
+        co_await sleep_for(delay);
+        delay = std::min(delay * 2, settings_.retry_limit);
+    }
+}
+
+// The written document when the write took effect, none when the root has not moved, revision_conflict when
+// another write came first.
+auto config_writer::resolve(config_document next, std::uint64_t expect)
+    -> asio::awaitable<result<std::optional<config_document>>>
+{
+    auto found = co_await store_.find(config_root_key);
+    if (!found) co_return found.error();
+    if (!found.value()) co_return std::optional<config_document>{};
+    auto parsed = parse_root(found.value()->value, found.value()->revision);
+    if (!parsed) co_return parsed.error();
+    auto const root = std::move(parsed).value();
+    if (auto const revision = root.revision_of(next.write_id)) {
+        next.revision = *revision;
+        co_return std::optional{next};
+    }
+    if (root.revision == expect) co_return std::optional<config_document>{};
+    co_return superseded(root);
+}
+
+auto config_writer::collect() -> asio::awaitable<result<std::size_t>>
+{
+    auto listing = co_await store_.list(config_object_prefix);
+    if (!listing) co_return listing.error();
+    auto found = co_await store_.find(config_root_key); // after the list: names all that it may name
+    if (!found) co_return found.error();
+    if (!found.value()) co_return std::size_t{0};
+    auto parsed = parse_root(found.value()->value, found.value()->revision);
+    if (!parsed) co_return parsed.error();
+    auto used = std::set<std::string>{};
+    for (auto const& [key, digest] : parsed.value().resources)
+        used.insert(config_object_prefix + digest);
+
+    auto const now = clock::now();
+    auto still = std::map<std::string, candidate>{};
+    auto due = std::vector<key_value_listing>{};
+    for (auto const& object : listing.value()) {
+        if (used.contains(object.key)) continue;
+        auto const known = unreferenced_.find(object.key);
+        auto const same = known != unreferenced_.end() && known->second.revision == object.revision;
+        auto const since = same ? known->second.since : now;
+        if (now - since >= settings_.collect_grace)
+            due.push_back(object);
+        else
+            still[object.key] = {object.revision, since};
+    }
+    unreferenced_ = std::move(still);
+    auto erased = std::size_t{0};
+    for (auto const& object : due) {
+        auto gone = co_await store_.erase(object.key, object.revision);
+        if (gone) ++erased;
+    }
+    co_return erased;
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,192 @@
+#include "hibiscuswall/membership/member_table.hpp"
+
+#include <algorithm>
+
+namespace hibiscuswall {
+namespace {
+
+// A change is sent this many times by each process before it waits for its turn like any other entry:
+// with one exchange a second and the same from every receiver, it reaches thousands of processes.
+constexpr auto retransmit_limit = 8;
+
+// Between reports of one incarnation. A leaving host stays leaving whatever a probe or a rumour says.
+auto precedence(member_state state) -> int
+{
+    switch (state) {
+    case member_state::alive:
+        return 0;
+    case member_state::suspect:
+        return 1;
+    case member_state::leaving:
+        return 2;
+    case member_state::dead:
+        return 3;
+    }
+    return 0;
+}
+
+} // namespace
+
+auto member_table::members() const -> std::vector<member>
+{
+    auto list = std::vector<member>{};
+    list.reserve(rows_.size());
+    for (auto const& [name, entry] : rows_)
+        list.push_back(entry.what);
+    return list;
+}
+
+auto member_table::find(std::string_view name) const -> member const*
+{
+    auto const found = rows_.find(name);
+    return found == rows_.end() ? nullptr : &found->second.what;
+}
+
+auto member_table::subscribe(std::function<void(member const&)> changed) -> void
+{
+    subscribers_.push_back(std::move(changed));
+}
+
+auto member_table::announce(row const& entry) -> void
+{
+    auto const copy = entry.what; // a subscriber may change the table
+    for (auto const& notify : subscribers_)
+        notify(copy);
+}
+
+auto member_table::change_state(row& entry, member_state state, time_point now) -> void
+{
+    if (entry.what.state == state) return;
+    entry.what.state = state;
+    entry.since = now;
+    entry.passed_on = 0;
+    announce(entry);
+}
+
+auto member_table::merge(member const& report, time_point now) -> bool
+{
+    auto const found = rows_.find(report.name);
+    if (found == rows_.end()) {
+        if (report.state == member_state::dead) return false; // no need to remember the unknown dead
+        auto& entry = rows_[report.name];
+        entry.what = report;
+        entry.since = now;
+        announce(entry);
+        return true;
+    }
+    auto& entry = found->second;
+    if (report.incarnation < entry.what.incarnation) return false;
+    // A revision never falls within an incarnation, and reports arrive out of order.
+    auto const newer = report.incarnation > entry.what.incarnation;
+    auto const revision =
+        newer ? report.config_revision : std::max(entry.what.config_revision, report.config_revision);
+    entry.what.config_revision = revision;
+    if (!newer && precedence(report.state) <= precedence(entry.what.state)) return false;
+    if (entry.what.state != report.state || newer) entry.since = now;
+    if (newer) entry.missed = 0;
+    entry.what = report;
+    entry.what.config_revision = revision;
+    entry.passed_on = 0;
+    announce(entry);
+    return true;
+}
+
+auto member_table::merge_host_list(std::span<member const> hosts, time_point now) -> void
+{
+    for (auto const& host : hosts) {
+        auto const leaving = host.state == member_state::leaving;
+        auto found = rows_.find(host.name);
+        if (found == rows_.end()) {
+            merge(host, now);
+            rows_[host.name].listed_leaving = leaving;
+            continue;
+        }
+        auto& entry = found->second;
+        // The list lags: "leaving" that it said before the process started anew must not count again.
+        auto const turned = leaving && !entry.listed_leaving;
+        entry.listed_leaving = leaving;
+        if (turned && entry.what.state != member_state::dead) change_state(entry, member_state::leaving, now);
+        // A replaced host may have a new address while its old process is remembered as dead.
+        if (!leaving && entry.what.state == member_state::dead) entry.what.control = host.control;
+    }
+}
+
+auto member_table::probe_missed(std::string_view name, time_point now) -> void
+{
+    auto const found = rows_.find(name);
+    if (found == rows_.end()) return;
+    auto& entry = found->second;
+    ++entry.missed;
+    if (entry.missed < settings_.missed_probes) return;
+    if (entry.what.state == member_state::alive) change_state(entry, member_state::suspect, now);
+    // A leaving process that no longer answers has ended.
+    if (entry.what.state == member_state::leaving) change_state(entry, member_state::dead, now);
+}
+
+auto member_table::probe_answered(member const& report, time_point now) -> void
+{
+    merge(report, now);
+    auto const found = rows_.find(report.name);
+    if (found == rows_.end()) return;
+    auto& entry = found->second;
+    entry.missed = 0;
+    // Its own answer is better evidence than our suspicion of the same incarnation.
+    if (entry.what.state == member_state::suspect && report.incarnation >= entry.what.incarnation &&
+        report.state == member_state::alive)
+        change_state(entry, member_state::alive, now);
+}
+
+auto member_table::expire(time_point now) -> void
+{
+    for (auto at = rows_.begin(); at != rows_.end();) {
+        auto& entry = at->second;
+        if (entry.what.state == member_state::suspect && now - entry.since >= settings_.suspicion)
+            change_state(entry, member_state::dead, now);
+        if (entry.what.state == member_state::dead && now - entry.since >= settings_.forget)
+            at = rows_.erase(at);
+        else
+            ++at;
+    }
+}
+
+auto member_table::doubtful() const -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{};
+    for (auto const& [name, entry] : rows_)
+        if (entry.missed > 0 && entry.what.state != member_state::dead) names.push_back(name);
+    return names;
+}
+
+auto member_table::news(std::size_t count) -> std::vector<member>
+{
+    auto order = std::vector<row*>{};
+    for (auto& [name, entry] : rows_)
+        order.push_back(&entry);
+    // Once every change was sent often enough, the counts go on rising and the entries take turns.
+    auto const wanted = std::min(count, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(wanted), order.end(),
+                      [](row const* left, row const* right) { return left->passed_on < right->passed_on; });
+    order.resize(wanted);
+    auto list = std::vector<member>{};
+    for (auto* entry : order) {
+        ++entry->passed_on;
+        list.push_back(entry->what);
+    }
+    auto const all_sent = std::all_of(rows_.begin(), rows_.end(), [](auto const& item) {
+        return item.second.passed_on > retransmit_limit;
+    });
+    if (all_sent)
+        for (auto& [name, entry] : rows_)
+            entry.passed_on = retransmit_limit;
+    return list;
+}
+
+auto refuting_incarnation(member const& self, member const& report) -> std::uint64_t
+{
+    if (report.name != self.name || report.incarnation < self.incarnation) return self.incarnation;
+    auto const is_wrong = report.state == member_state::suspect || report.state == member_state::dead ||
+                          report.incarnation > self.incarnation;
+    return is_wrong ? report.incarnation + 1 : self.incarnation;
+}
+
+} // namespace hibiscuswall
