--- /dev/null
+++ b/include/hibiscuswall/routing/endpoint_state.hpp
@@ -0,0 +1,43 @@
+#pragma once
+// What an entry has learned about one endpoint from the answers of its agent (soft state).
+
+#include "hibiscuswall/core/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace hibiscuswall {
+
+struct endpoint_state {
+    // ---- as carried on the last answer
+    int in_flight = 0;             // over all entries
+    int limit = 0;                 // 0: not told yet
+    std::uint64_t incarnation = 0; // highest seen of the agent
+    std::string weights_version;   // empty: not told yet
+    bool leaving = false;          // told by the agent; holds for this incarnation
+
+    // ---- own view
+    int own_in_flight = 0;      // calls of this entry that wait for an answer
+    int own_at_answer = 0;      // own_in_flight when in_flight was told
+    int failures = 0;           // consecutive
+    bool ejected = false;       // takes probes only
+    bool probing = false;       // the one probe is under way
+    milliseconds ejection{0};   // length of the current ejection
+    time_point ejected_until{}; // no probe before
+    time_point paused_until{};  // refused as draining or cold
+
+    // Requests at the endpoint: the last report corrected by what this entry has sent and finished since.
+    [[nodiscard]] auto expected_in_flight() const -> int
+    {
+        return std::max(own_in_flight, in_flight + own_in_flight - own_at_answer);
+    }
+
+    // Requests at the endpoint over its limit; 1 and above is full.
+    [[nodiscard]] auto load(int assumed_limit) const -> double
+    {
+        return static_cast<double>(expected_in_flight()) / std::max(1, limit > 0 ? limit : assumed_limit);
+    }
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/routing/routing_settings.cpp
@@ -0,0 +1,26 @@
+#include "hibiscuswall/routing/routing_settings.hpp"
+
+namespace hibiscuswall {
+
+auto read_routing_settings(settings_reader reader) -> routing_settings
+{
+    auto settings = routing_settings{};
+    auto const size = [&](std::string_view key, std::size_t fallback, long long low, long long high) {
+        return static_cast<std::size_t>(reader.integer(key, static_cast<long long>(fallback), low, high));
+    };
+    settings.subset = size("subset", settings.subset, 1, 10'000);
+    settings.affinity_bound = reader.number("affinity_bound", settings.affinity_bound, 1.0, 100.0);
+    settings.prefix_bytes = size("prefix_bytes", settings.prefix_bytes, 0, 65'536);
+    settings.assumed_limit =
+        static_cast<int>(reader.integer("assumed_limit", settings.assumed_limit, 1, 10'000));
+    settings.failures_to_eject =
+        static_cast<int>(reader.integer("failures_to_eject", settings.failures_to_eject, 1, 1'000));
+    settings.ejection = reader.duration("ejection_ms", settings.ejection);
+    settings.ejection_limit = reader.duration("ejection_limit_ms", settings.ejection_limit);
+    settings.refusal_pause = reader.duration("refusal_pause_ms", settings.refusal_pause);
+    settings.retry_reserve = reader.number("retry_reserve", settings.retry_reserve, 0.0, 10'000.0);
+    reader.finish();
+    return settings;
+}
+
+} // namespace hibiscuswall
