--- a/include/hibiscuswall/admission/fair_queue.hpp
+++ b/include/hibiscuswall/admission/fair_queue.hpp
@@ -6,7 +6,7 @@
 //   queue.finished(account);
 //
 // Within a class the account with the fewest requests in flight per weight goes first; accounts that are
-// equal there take turns in proportion to their weights (start-time fair queueing).
+// equal there take turns in proportion to their weights (start-time fair queueing), the earlier id first.
 
 #include "hibiscuswall/config/resource.hpp"
 #include "hibiscuswall/core/time.hpp"
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -92,7 +92,9 @@
             auto const& other = accounts_.at(right.first);
             auto const one_load = static_cast<double>(one.in_flight) / one.weight;
             auto const other_load = static_cast<double>(other.in_flight) / other.weight;
-            return one_load != other_load ? one_load < other_load : one.start_tag < other.start_tag;
+            if (one_load != other_load) return one_load < other_load;
+            if (one.start_tag != other.start_tag) return one.start_tag < other.start_tag;
+            return left.second.front().id < right.second.front().id;
         };
         auto const next = std::min_element(waiting.begin(), waiting.end(), goes_first);
         auto& account = accounts_.at(next->first);
--- /dev/null
+++ b/tests/unit/admission_test.cpp
@@ -0,0 +1,421 @@
+// Admission at an agent: the limit, the fair queue and both together, with made-up times.
+#include "hibiscuswall/admission/admission_controller.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+constexpr auto start = time_point{seconds{1'000}};
+
+auto request(std::uint64_t id, std::string account, request_class priority, double weight = 1.0,
+             seconds until = seconds{60}) -> admission_request
+{
+    return {id, std::move(account), weight, priority, start + until};
+}
+
+auto started(admission_controller::events const& events) -> std::vector<std::uint64_t>
+{
+    auto ids = std::vector<std::uint64_t>{};
+    for (auto const& event : events)
+        if (event.code == result_code::ok) ids.push_back(event.id);
+    return ids;
+}
+
+auto refused(admission_controller::events const& events, result_code code) -> std::vector<std::uint64_t>
+{
+    auto ids = std::vector<std::uint64_t>{};
+    for (auto const& event : events)
+        if (event.code == code) ids.push_back(event.id);
+    return ids;
+}
+
+} // namespace
+
+// ---- the limit alone
+
+TEST_GROUP(concurrency_limit)
+{
+    concurrency_limit limit{{}, 2, 16};
+    time_point now = start;
+
+    auto succeed(int count, microseconds latency)->bool
+    {
+        auto was_reset = false;
+        for (auto i = 0; i < count; ++i) {
+            now += milliseconds{10};
+            auto const running = static_cast<std::size_t>(limit.value());
+            was_reset = limit.succeeded(request_class::status, latency, running, now) || was_reset;
+        }
+        return was_reset;
+    }
+};
+
+TEST(concurrency_limit, starts_at_the_cold_limit_and_grows_to_the_highest)
+{
+    CHECK_EQUAL(2, limit.value());
+    succeed(2, milliseconds{10});
+    CHECK_EQUAL(2, limit.value()); // one more only after as many completions as the limit
+    succeed(500, milliseconds{10});
+    CHECK_EQUAL(16, limit.value());
+}
+
+// Guards against a limit that grows while nobody uses it and then lets a burst through.
+TEST(concurrency_limit, an_unused_limit_does_not_grow)
+{
+    for (auto i = 0; i < 500; ++i)
+        limit.succeeded(request_class::status, milliseconds{10}, 0, now += milliseconds{10});
+    CHECK_EQUAL(2, limit.value());
+}
+
+// Guards against one burst of failures taking the limit down many times.
+TEST(concurrency_limit, decreases_once_for_failures_at_the_same_time)
+{
+    succeed(500, milliseconds{10});
+    for (auto i = 0; i < 10; ++i)
+        limit.overloaded(now);
+    CHECK_EQUAL(11, limit.value());
+    limit.overloaded(now + seconds{1});
+    CHECK_EQUAL(7, limit.value());
+    for (auto i = 2; i < 50; ++i)
+        limit.overloaded(now + seconds{i});
+    CHECK_EQUAL(2, limit.value()); // never below the cold limit
+}
+
+// Guards against a queue inside the endpoint that grows with the limit.
+TEST(concurrency_limit, decreases_when_latency_rises_above_its_best)
+{
+    succeed(500, milliseconds{100});
+    succeed(40, milliseconds{400});
+    CHECK(limit.value() < 16);
+}
+
+// Guards against full load on an endpoint that turned cold without a word.
+TEST(concurrency_limit, a_latency_jump_resets_to_the_cold_limit)
+{
+    succeed(500, milliseconds{10});
+    CHECK_FALSE(succeed(2, milliseconds{200}));
+    CHECK_TRUE(succeed(1, milliseconds{200}));
+    CHECK_EQUAL(2, limit.value());
+}
+
+// Guards against one slow answer throwing away the whole limit.
+TEST(concurrency_limit, a_single_slow_answer_is_no_jump)
+{
+    succeed(500, milliseconds{10});
+    for (auto i = 0; i < 10; ++i) {
+        CHECK_FALSE(succeed(1, milliseconds{120}));
+        succeed(20, milliseconds{10});
+    }
+    CHECK(limit.value() > 2);
+}
+
+// Guards against short status reads making longer drafts look like overload.
+TEST(concurrency_limit, classes_have_their_own_best_latency)
+{
+    succeed(500, milliseconds{1});
+    for (auto i = 0; i < 100; ++i)
+        limit.succeeded(request_class::drafting, milliseconds{300}, 16, now += milliseconds{10});
+    CHECK_EQUAL(16, limit.value());
+}
+
+TEST(concurrency_limit, is_held_at_its_value_while_the_endpoint_reports_cold)
+{
+    limit.hold(true);
+    succeed(500, milliseconds{10});
+    CHECK_EQUAL(2, limit.value());
+}
+
+// ---- the queue alone
+
+TEST_GROUP(fair_queue)
+{
+    fair_queue queue{{8, 7, 6}};
+    std::uint64_t next_id = 1;
+
+    auto push(std::string const& account, request_class priority, double weight = 1.0)
+        ->std::vector<std::uint64_t>
+    {
+        return queue.push(request(next_id++, account, priority, weight));
+    }
+};
+
+TEST(fair_queue, higher_classes_go_first)
+{
+    push("a", request_class::drafting);
+    push("a", request_class::status);
+    push("a", request_class::booking);
+    CHECK_EQUAL(3U, queue.pop(request_class::drafting)->id);
+    CHECK_EQUAL(2U, queue.pop(request_class::drafting)->id);
+    CHECK_EQUAL(1U, queue.pop(request_class::drafting)->id);
+    CHECK_FALSE(queue.pop(request_class::drafting).has_value());
+}
+
+TEST(fair_queue, classes_below_the_lowest_allowed_wait)
+{
+    push("a", request_class::drafting);
+    CHECK_FALSE(queue.pop(request_class::status).has_value());
+    CHECK_EQUAL(1U, queue.size());
+}
+
+// Guards against a large account that fills the queue first and is then served first.
+TEST(fair_queue, a_small_account_does_not_wait_behind_a_large_one)
+{
+    for (auto i = 0; i < 5; ++i)
+        push("large", request_class::drafting);
+    push("small", request_class::drafting);
+    queue.pop(request_class::drafting);
+    STRCMP_EQUAL("small", queue.pop(request_class::drafting)->account.c_str());
+}
+
+// Guards against one slot at a time (a cold endpoint) making the count in flight useless for fairness.
+TEST(fair_queue, accounts_share_a_single_slot_by_weight)
+{
+    auto served = std::map<std::string, int>{};
+    for (auto i = 0; i < 300; ++i) {
+        while (queue.size() < 4)
+            push(queue.size() % 2 == 0 ? "one" : "three", request_class::drafting,
+                 queue.size() % 2 == 0 ? 1.0 : 3.0);
+        push("one", request_class::drafting, 1.0);
+        push("three", request_class::drafting, 3.0);
+        auto const next = queue.pop(request_class::drafting);
+        ++served[next->account];
+        queue.finished(next->account);
+    }
+    auto const ratio = static_cast<double>(served["three"]) / served["one"];
+    DOUBLES_EQUAL(3.0, ratio, 0.2);
+}
+
+// Guards against an account that saves up turns while idle and then shuts out the others.
+TEST(fair_queue, idle_time_gives_no_credit)
+{
+    for (auto i = 0; i < 50; ++i) {
+        push("busy", request_class::drafting);
+        queue.pop(request_class::drafting);
+        queue.finished("busy");
+    }
+    for (auto i = 0; i < 3; ++i) {
+        push("back", request_class::drafting);
+        push("busy", request_class::drafting);
+    }
+    auto first_four = std::map<std::string, int>{};
+    for (auto i = 0; i < 4; ++i) {
+        auto const next = queue.pop(request_class::drafting);
+        ++first_four[next->account];
+        queue.finished(next->account);
+    }
+    CHECK_EQUAL(2, first_four["busy"]);
+    CHECK_EQUAL(2, first_four["back"]);
+}
+
+TEST_GROUP_BASE(full_queue, TEST_GROUP_CppUTestGroupfair_queue){
+    void setup() override{for (auto i = 0; i < 4; ++i) push("large", request_class::drafting); // 1 to 4
+push("small", request_class::drafting);                                                        // 5
+push("small", request_class::drafting);                                                        // 6
+}
+}
+;
+
+TEST(full_queue, sheds_the_newest_request_of_the_most_loaded_account)
+{
+    CHECK(push("small", request_class::drafting) == std::vector<std::uint64_t>{4});
+    CHECK(push("large", request_class::drafting) == std::vector<std::uint64_t>{8});
+}
+
+// Guards against a crowd of drafts that leaves a booking without a place.
+TEST(full_queue, keeps_room_for_higher_classes)
+{
+    CHECK(push("office", request_class::booking).empty());
+    CHECK(push("office", request_class::status).empty());
+    CHECK_EQUAL(8U, queue.size());
+}
+
+TEST(full_queue, a_booking_displaces_the_lowest_class)
+{
+    push("office", request_class::booking);
+    push("office", request_class::booking);
+    CHECK(push("office", request_class::booking) == std::vector<std::uint64_t>{4});
+    CHECK_EQUAL(3U, queue.size(request_class::booking));
+}
+
+// Guards against a low class pushing out a higher one.
+TEST(full_queue, a_draft_never_displaces_a_higher_class)
+{
+    queue.clear();
+    for (auto i = 0; i < 8; ++i)
+        push("office", request_class::booking);
+    auto const shed = push("large", request_class::drafting);
+    CHECK(shed == std::vector<std::uint64_t>{next_id - 1});
+    CHECK_EQUAL(8U, queue.size(request_class::booking));
+}
+
+// ---- both together
+
+TEST_GROUP(admission)
+{
+    admission_controller control{{}};
+    time_point now = start;
+    std::uint64_t next_id = 1;
+
+    void setup() override
+    {
+        auto service = service_resource{};
+        service.cold_limit = 2;
+        service.max_limit = 16;
+        service.queue_limit = 12;
+        control.configure(service, now);
+    }
+
+    auto arrive(std::string const& account, request_class priority, double weight = 1.0)
+        ->admission_controller::events
+    {
+        return control.arrive(request(next_id++, account, priority, weight), now);
+    }
+
+    // Runs enough bookings for the limit to reach its highest value; none is left running.
+    auto warm_up()->void
+    {
+        auto running = std::set<std::uint64_t>{};
+        auto const take = [&](admission_controller::events const& events) {
+            for (auto const id : started(events))
+                running.insert(id);
+        };
+        for (auto i = 0; i < 600; ++i) {
+            while (control.waiting() < 2)
+                take(arrive("warm", request_class::booking));
+            auto const id = *running.begin();
+            running.erase(running.begin());
+            take(control.finish(id, {run_outcome::succeeded, milliseconds{10}}, now += milliseconds{1}));
+        }
+        control.refuse_waiting(result_code::queue_full);
+        for (auto const id : running)
+            control.finish(id, {}, now);
+    }
+};
+
+// Guards against many entries that each think the endpoint has room: the agent is where they meet.
+TEST(admission, many_entries_together_never_pass_the_limit)
+{
+    auto running = std::set<std::uint64_t>{};
+    for (auto i = 0; i < 2'000; ++i) {
+        now += milliseconds{1};
+        auto events = arrive("entry-" + std::to_string(i % 20), request_class::status);
+        for (auto const id : started(events))
+            running.insert(id);
+        CHECK(running.size() <= static_cast<std::size_t>(control.limit()));
+        if (i % 2 == 0 && !running.empty()) {
+            auto const id = *running.begin();
+            running.erase(running.begin());
+            for (auto const next :
+                 started(control.finish(id, {run_outcome::succeeded, milliseconds{20}}, now)))
+                running.insert(next);
+        }
+        CHECK(running.size() <= static_cast<std::size_t>(control.limit()));
+        CHECK_EQUAL(running.size(), control.in_flight());
+    }
+}
+
+// Guards against new work on an endpoint that turned cold while more than its cold limit was running.
+TEST(admission, after_a_reset_new_work_waits_until_fewer_than_the_cold_limit_run)
+{
+    warm_up();
+    CHECK_EQUAL(16, control.limit());
+    auto running = std::vector<std::uint64_t>{};
+    for (auto i = 0; i < 10; ++i)
+        for (auto const id : started(arrive("a", request_class::booking)))
+            running.push_back(id);
+    CHECK_EQUAL(10U, running.size());
+    control.reset();
+    CHECK(started(arrive("a", request_class::booking)).empty());
+    for (auto i = 0U; i < 8; ++i)
+        CHECK(started(control.finish(running[i], {}, now)).empty());
+    CHECK_EQUAL(1U, started(control.finish(running[8], {}, now)).size());
+}
+
+// Guards against drafts that take every slot so that a status read has to wait for one of them.
+TEST(admission, drafts_leave_slots_free_for_higher_classes)
+{
+    warm_up();
+    auto drafts = std::size_t{0};
+    for (auto i = 0; i < 20; ++i)
+        drafts += started(arrive("a", request_class::drafting)).size();
+    CHECK_EQUAL(12U, drafts);
+    CHECK_EQUAL(1U, started(arrive("road-office", request_class::status)).size());
+    CHECK_EQUAL(1U, started(arrive("office", request_class::booking)).size());
+}
+
+TEST(admission, at_a_cold_limit_even_the_lowest_class_runs)
+{
+    CHECK_EQUAL(1U, started(arrive("a", request_class::drafting)).size());
+}
+
+// Guards against work whose caller gave up long ago.
+TEST(admission, work_past_its_deadline_is_not_started)
+{
+    auto const first = started(arrive("a", request_class::booking));
+    arrive("a", request_class::booking);
+    control.arrive(request(100, "a", request_class::booking, 1.0, seconds{1}), now);
+    now += seconds{2};
+    auto const events = control.finish(first.front(), {}, now);
+    CHECK(refused(events, result_code::deadline_exceeded) == std::vector<std::uint64_t>{100});
+    CHECK(refused(control.arrive(request(101, "a", request_class::booking, 1.0, seconds{1}), now),
+                  result_code::deadline_exceeded) == std::vector<std::uint64_t>{101});
+}
+
+TEST(admission, a_shed_request_is_told_when_to_come_back)
+{
+    for (auto i = 0; i < 40; ++i)
+        for (auto const& event : arrive("a", request_class::drafting))
+            if (event.code == result_code::queue_full) CHECK(event.retry_after > milliseconds{0});
+    CHECK_EQUAL(9U, control.waiting());
+}
+
+// Guards against an overload in which one large account starves the small ones.
+TEST(admission, a_large_account_gets_no_more_than_its_share_under_overload)
+{
+    auto done = std::map<std::string, int>{};
+    auto running = std::map<std::uint64_t, std::string>{};
+    auto const take = [&](admission_controller::events const& events,
+                          std::map<std::uint64_t, std::string>& names) {
+        for (auto const id : started(events))
+            running[id] = names[id];
+    };
+    auto names = std::map<std::uint64_t, std::string>{};
+    for (auto i = 0; i < 4'000; ++i) {
+        now += milliseconds{5};
+        // The large account sends eight times as much as each small one.
+        for (auto const* account :
+             {"large", "large", "large", "large", "large", "large", "large", "large", "s1", "s2"}) {
+            names[next_id] = account;
+            take(arrive(account, request_class::drafting), names);
+        }
+        auto const id = running.begin()->first;
+        ++done[running.begin()->second];
+        running.erase(id);
+        take(control.finish(id, {run_outcome::succeeded, milliseconds{20}}, now), names);
+    }
+    auto sum = 0.0;
+    auto squares = 0.0;
+    for (auto const& [account, count] : done) {
+        sum += count;
+        squares += static_cast<double>(count) * count;
+    }
+    auto const jain = sum * sum / (3.0 * squares);
+    CHECK(jain >= 0.95);
+}
+
+// Guards against a stop that leaves waiting requests hanging.
+TEST(admission, refusing_the_waiting_leaves_the_running_alone)
+{
+    arrive("a", request_class::booking);
+    arrive("a", request_class::booking);
+    arrive("a", request_class::booking);
+    auto const events = control.refuse_waiting(result_code::endpoint_draining);
+    CHECK(refused(events, result_code::endpoint_draining) == std::vector<std::uint64_t>{3});
+    CHECK_EQUAL(2U, control.in_flight());
+    CHECK_EQUAL(0U, control.waiting());
+}
