--- /dev/null
+++ b/src/api/ctl_files.cpp
@@ -0,0 +1,53 @@
+#include "hibiscuswall/api/ctl_files.hpp"
+
+#include <fstream>
+#include <map>
+
+namespace hibiscuswall {
+namespace {
+
+auto read_file(std::string const& path) -> result<nlohmann::json>
+{
+    auto file = std::ifstream{path};
+    if (!file) return fail(result_code::settings_unreadable, path + ": cannot be read");
+    try {
+        return nlohmann::json::parse(file);
+    } catch (nlohmann::json::parse_error const& problem) {
+        return fail(result_code::settings_unreadable, path + ": " + problem.what());
+    }
+}
+
+} // namespace
+
+auto read_resource_files(std::vector<std::string> const& paths) -> result<std::vector<declared_resource>>
+{
+    auto declared = std::vector<declared_resource>{};
+    auto errors = std::vector<std::string>{};
+    auto first_in = std::map<std::string, std::string>{};
+    for (auto const& path : paths) {
+        auto document = read_file(path);
+        if (!document) return document.error();
+        auto const& content = document.value();
+        auto const wrapped = content.is_object() && content.contains("resources");
+        auto const& list = wrapped ? content["resources"] : content;
+        auto const items = list.is_array() ? list : nlohmann::json::array({list});
+        for (auto i = std::size_t{0}; i < items.size(); ++i) {
+            auto mistakes = std::vector<std::string>{};
+            auto const where = list.is_array() ? "resources[" + std::to_string(i) + "]" : std::string{};
+            auto parsed = parse_resource(items[i], where, mistakes);
+            for (auto const& mistake : mistakes)
+                errors.push_back(path + ": " + mistake);
+            if (!parsed) continue;
+            auto const [first, added] = first_in.emplace(parsed->key(), path);
+            if (!added) errors.push_back(path + ": " + parsed->key() + " is also in " + first->second);
+            declared.push_back(std::move(*parsed));
+        }
+    }
+    auto text = std::string{};
+    for (auto const& line : errors)
+        text += (text.empty() ? "" : "\n") + line;
+    if (!errors.empty()) return fail(result_code::resource_invalid, text);
+    return declared;
+}
+
+} // namespace hibiscuswall
