--- a/include/hibiscuswall/routing/endpoint_router.hpp
+++ b/include/hibiscuswall/routing/endpoint_router.hpp
@@ -5,7 +5,8 @@
 //   router.update(members.members());                       // after each change of the member table
 //   auto chosen = router.choose(query, *view, now, random);  // none: no admissible endpoint
 //   router.on_sent(chosen->name);
-//   router.on_answer(chosen->name, report, now);             // or on_failure, on_abandoned
+//   router.on_report(chosen->name, report, now);             // when the header of the answer came
+//   router.on_finished(chosen->name);                        // or on_failure, on_abandoned
 //
 // Only members that are agents of the service, neither leaving nor dead, and declared in service are
 // admissible. Near endpoints come first: the same failure domain, the same region, the rest. A farther tier
@@ -59,9 +60,11 @@
     [[nodiscard]] auto choose(route_query const& query, config_view const& view, time_point now,
                               random_source& random) const -> std::optional<member>;
 
-    // ---- every sent call ends in exactly one of the three others
+    auto on_report(std::string_view host, endpoint_report const& report, time_point now) -> void;
+
+    // ---- every sent call ends in exactly one of the three last ones
     auto on_sent(std::string_view host, time_point now) -> void;
-    auto on_answer(std::string_view host, endpoint_report const& report, time_point now) -> void;
+    auto on_finished(std::string_view host) -> void;                // whole answer or refusal
     auto on_failure(std::string_view host, time_point now) -> void; // cut, late or no connection
     auto on_abandoned(std::string_view host) -> void;               // ended by the caller
 
--- /dev/null
+++ b/src/calls/call_answer.cpp
@@ -0,0 +1,98 @@
+// Answers of a call to its caller.
+#include "call_run.hpp"
+
+#include "hibiscuswall/observe/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto default_retry_after_s = 1LL;
+
+auto error_text(error const& problem, ran outcome, std::string const& call_id) -> std::string
+{
+    auto const body = nlohmann::json{{"code", static_cast<int>(problem.code)},
+                                     {"name", describe(problem.code).name},
+                                     {"message", problem.message},
+                                     {"ran", ran_text(outcome)},
+                                     {"call_id", call_id}};
+    // Messages may quote a caller's bytes, which need not be UTF-8.
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// A code that goes with the outcome: "not run" and "outcome unknown" each have their statuses.
+auto fitting_code(result_code code, ran outcome) -> result_code
+{
+    auto const usual = describe(code).outcome;
+    if (outcome == ran::no && (code == result_code::connect_failed || usual == ran::unknown))
+        return result_code::no_endpoint;
+    if (outcome == ran::unknown && usual == ran::no) return result_code::outcome_unknown;
+    return code;
+}
+
+} // namespace
+
+auto call_run::deliver(int status, http_headers headers, std::string body) -> asio::awaitable<void>
+{
+    if (!call_.idempotency_key.empty()) {
+        auto kept = claim_answer{status, std::string{headers.find("Content-Type")}, body};
+        end_claim(claim_id_, claim_state::answered, std::move(kept));
+    }
+    headers.set("X-Call-Id", call_.id);
+    auto response = http_response{status, std::move(headers), std::move(body)};
+    co_await out_.send(std::move(response));
+    services_->context.measures.count("calls_total", {{"result", "answered"}});
+}
+
+auto call_run::replay(claim_answer answer, std::string call_id) -> asio::awaitable<void>
+{
+    auto headers = http_headers{};
+    if (!answer.content_type.empty()) headers.set("Content-Type", answer.content_type);
+    headers.set("X-Call-Id", call_id);
+    headers.set("X-Replayed", "yes");
+    auto response = http_response{answer.status, std::move(headers), std::move(answer.body)};
+    services_->context.measures.count("calls_total", {{"result", "replayed"}});
+    co_await out_.send(std::move(response));
+}
+
+auto call_run::refuse(error problem) -> asio::awaitable<void>
+{
+    auto const outcome = machine_.outcome();
+    if (outcome == ran::no && !claim_id_.empty()) end_claim(claim_id_, claim_state::released, std::nullopt);
+    return refuse_as(std::move(problem), outcome);
+}
+
+auto call_run::refuse_as(error problem, ran outcome) -> asio::awaitable<void>
+{
+    if (!call_.idempotent && outcome == ran::unknown && problem.code != result_code::call_in_progress)
+        problem.code = result_code::outcome_unknown;
+    problem.code = fitting_code(problem.code, outcome);
+    auto const& info = describe(problem.code);
+    services_->context.measures.count("calls_total", {{"result", info.name}, {"ran", ran_text(outcome)}});
+    services_->context.events.record(
+        "call_refused",
+        {{"call_id", call_.id}, {"code", std::string{info.name}}, {"ran", std::string{ran_text(outcome)}}});
+    log_event(log_level::info, "call_refused",
+              {{"call_id", call_.id},
+               {"code", std::string{info.name}},
+               {"ran", std::string{ran_text(outcome)}},
+               {"attempts", std::to_string(attempts_)},
+               {"message", problem.message}});
+    auto body = error_text(problem, outcome, call_.id);
+    if (streaming_) {
+        auto const event = "event: error\ndata: " + body + "\n\n";
+        if (co_await out_.write(event)) co_await out_.finish();
+        co_return;
+    }
+    auto response = json_response(info.http_status, std::move(body));
+    response.headers.set("X-Call-Id", call_.id);
+    response.headers.set("X-Ran", ran_text(outcome));
+    auto const temporary =
+        info.http_status == 503 || info.http_status == 429 || problem.code == result_code::call_in_progress;
+    if (temporary)
+        response.headers.set("Retry-After", retry_after_s_ > 0 ? retry_after_s_ : default_retry_after_s);
+    co_await out_.send(std::move(response));
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/calls/call_handler.cpp
@@ -0,0 +1,110 @@
+#include "hibiscuswall/calls/call_handler.hpp"
+
+#include "call_run.hpp"
+
+#include "hibiscuswall/observe/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+auto early_refusal(error const& problem, std::string const& call_id) -> http_response
+{
+    auto const& info = describe(problem.code);
+    auto const body = nlohmann::json{{"code", static_cast<int>(problem.code)},
+                                     {"name", info.name},
+                                     {"message", problem.message},
+                                     {"ran", "no"},
+                                     {"call_id", call_id}};
+    auto response =
+        json_response(info.http_status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    response.headers.set("X-Call-Id", call_id);
+    response.headers.set("X-Ran", "no");
+    if (info.http_status == 503) response.headers.set("Retry-After", 1LL);
+    return response;
+}
+
+auto class_name(request_class priority) -> std::string_view
+{
+    constexpr std::string_view names[] = {"drafting", "status", "booking"};
+    return names[static_cast<int>(priority)];
+}
+
+} // namespace
+
+auto call_handler::state::handle(http_request const& request, http_responder& out) -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    auto const started = clock::now();
+    auto const id = context.random.id();
+    auto view = config.current();
+    if (view == nullptr) {
+        auto refusal = early_refusal(
+            fail(result_code::configuration_missing, "this entry has no configuration yet"), id);
+        co_await out.send(std::move(refusal));
+        co_return;
+    }
+    auto read = read_caller_call(request, *view, settings, started);
+    if (!read) {
+        context.measures.count("calls_total", {{"result", describe(read.error().code).name}, {"ran", "no"}});
+        auto refusal = early_refusal(read.error(), id);
+        co_await out.send(std::move(refusal));
+        co_return;
+    }
+    auto call = std::move(read).value();
+    call.id = id;
+    auto const priority = call.priority;
+    budget.on_request(view->policy.retry_budget_ratio);
+    ++in_flight;
+    try {
+        auto run = call_run{self, std::move(call), out};
+        co_await run.run();
+    } catch (...) {
+        --in_flight;
+        throw;
+    }
+    --in_flight;
+    auto const took = std::chrono::duration<double>(clock::now() - started).count();
+    context.measures.observe("call_seconds", {{"class", class_name(priority)}}, took);
+}
+
+auto call_handler::state::finish_claim(std::string key, std::string call_id, claim_state end,
+                                       std::optional<claim_answer> answer) -> asio::awaitable<void>
+{
+    auto self = shared_from_this();
+    ++in_flight; // a graceful stop waits for it
+    auto stored = co_await claims.finish(std::move(key), call_id, end, std::move(answer));
+    --in_flight;
+    if (!stored)
+        log_event(log_level::warning, "claim_not_finished",
+                  {{"call_id", call_id}, {"reason", stored.error().message}});
+}
+
+call_handler::call_handler(process_context& context, config_source& config, member_source& members,
+                           key_value_client& store, call_settings settings, http_router& callers)
+    : state_{std::make_shared<state>(context, config, members, store, settings)}
+{
+    auto const handler = [shared = state_](http_request const& request,
+                                           http_responder& out) -> asio::awaitable<void> {
+        return shared->handle(request, out);
+    };
+    callers.add("POST", "/v1/completions", handler);
+    callers.add("*", "/v1/services/", handler);
+}
+
+call_handler::~call_handler() = default;
+
+auto call_handler::start() -> void
+{
+    auto const refresh = [shared = state_] {
+        auto const all = shared->members.members();
+        shared->router.update(all);
+    };
+    state_->members.subscribe([refresh](member const& /*changed*/) { refresh(); });
+    refresh();
+}
+
+auto call_handler::in_flight() const -> std::size_t { return state_->in_flight; }
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/calls/event_parser.cpp
@@ -0,0 +1,49 @@
+#include "hibiscuswall/calls/event_parser.hpp"
+
+#include <charconv>
+
+namespace hibiscuswall {
+namespace {
+
+auto parse_event(std::string text) -> stream_event
+{
+    auto event = stream_event{};
+    auto rest = std::string_view{text};
+    while (!rest.empty()) {
+        auto const end = std::min(rest.find('\n'), rest.size() - 1);
+        auto line = rest.substr(0, end);
+        rest.remove_prefix(end + 1);
+        auto const colon = line.find(':');
+        if (colon == std::string_view::npos || colon == 0) continue;
+        auto value = line.substr(colon + 1);
+        if (value.starts_with(' ')) value.remove_prefix(1);
+        if (line.substr(0, colon) == "event") event.type = std::string{value};
+        if (line.substr(0, colon) != "id") continue;
+        auto number = 0LL;
+        auto const [stop, status] = std::from_chars(value.data(), value.data() + value.size(), number);
+        if (status == std::errc{} && stop == value.data() + value.size()) event.id = number;
+    }
+    event.text = std::move(text);
+    return event;
+}
+
+} // namespace
+
+auto event_parser::feed(std::string_view bytes) -> std::vector<stream_event>
+{
+    // Lines may end in "\r\n"; they are relayed as "\n".
+    for (auto const c : bytes)
+        if (c != '\r') buffer_ += c;
+    auto events = std::vector<stream_event>{};
+    auto start = std::size_t{0};
+    while (true) {
+        auto const end = buffer_.find("\n\n", start);
+        if (end == std::string::npos) break;
+        events.push_back(parse_event(buffer_.substr(start, end + 2 - start)));
+        start = end + 2;
+    }
+    buffer_.erase(0, start);
+    return events;
+}
+
+} // namespace hibiscuswall
--- a/src/lifecycle/call_machine.cpp
+++ b/src/lifecycle/call_machine.cpp
@@ -35,24 +35,31 @@
     }
 };
 
+// From here on no refusal of a later attempt makes the whole call "not run".
+struct remember_unknown {
+    template<class Event, class Machine, class Source, class Target>
+    auto operator()(Event const& /*event*/, Machine& machine, Source& /*from*/, Target& /*to*/) -> void
+    {
+        machine.may_have_run = true;
+    }
+};
+
 struct definition : msm::front::state_machine_def<definition> {
     bool idempotent = false;
-    bool allowed = true; // whether the last event had a transition
+    bool may_have_run = false; // an earlier attempt's answer was lost
+    bool allowed = true;       // whether the last event had a transition
 
     using initial_state = accepted;
 
-    struct transition_table : boost::mpl::vector<
-                                  Row<accepted, claim_stored, claimed, none, none>,
-                                  Row<accepted, attempt_sent, sent, none, none>,
-                                  Row<claimed, attempt_sent, sent, none, none>,
-                                  Row<claimed, attempt_not_run, accepted, none, none>,
-                                  Row<sent, attempt_not_run, accepted, none, none>,
-                                  Row<sent, answer_whole, answered, none, none>,
-                                  Row<sent, answer_lost, unknown, none, none>,
-                                  Row<unknown, answer_whole, answered, none, none>,
-                                  Row<unknown, attempt_not_run, accepted, none, none>,
-                                  Row<unknown, attempt_sent, sent, none, may_run_twice>> {
-    };
+    struct transition_table
+        : boost::mpl::vector<
+              Row<accepted, claim_stored, claimed, none, none>, Row<accepted, attempt_sent, sent, none, none>,
+              Row<claimed, attempt_sent, sent, none, none>,
+              Row<claimed, attempt_not_run, accepted, none, none>,
+              Row<sent, attempt_not_run, accepted, none, none>, Row<sent, answer_whole, answered, none, none>,
+              Row<sent, answer_lost, unknown, none, none>, Row<unknown, answer_whole, answered, none, none>,
+              Row<unknown, attempt_not_run, accepted, none, none>,
+              Row<unknown, attempt_sent, sent, remember_unknown, may_run_twice>> {};
 
     template<class Event, class Machine>
     auto no_transition(Event const& /*event*/, Machine& /*machine*/, int /*phase*/) -> void
@@ -123,7 +130,7 @@
     switch (phase()) {
     case call_phase::accepted:
     case call_phase::claimed:
-        return ran::no;
+        return state_->machine.may_have_run ? ran::unknown : ran::no;
     case call_phase::answered:
         return ran::yes;
     case call_phase::sent:
--- a/src/routing/endpoint_router.cpp
+++ b/src/routing/endpoint_router.cpp
@@ -181,20 +181,16 @@
     if (found->second.ejected && now >= found->second.ejected_until) found->second.probing = true;
 }
 
-auto endpoint_router::on_answer(std::string_view host, endpoint_report const& report, time_point now) -> void
+auto endpoint_router::on_report(std::string_view host, endpoint_report const& report, time_point now) -> void
 {
     auto const found = states_.find(host);
     if (found == states_.end()) return;
     auto& state = found->second;
-    state.own_in_flight = std::max(0, state.own_in_flight - 1);
     if (report.incarnation < state.incarnation) return; // a late answer of a process that is gone
-    if (report.incarnation > state.incarnation) state.leaving = false;
     state.incarnation = report.incarnation;
     state.in_flight = report.in_flight;
     state.own_at_answer = state.own_in_flight;
     state.limit = report.limit;
-    state.failures = 0;
-    state.ejected = state.probing = false;
     if (!report.weights_version.empty()) state.weights_version = report.weights_version;
     state.leaving = report.endpoint_state == "leaving" || report.endpoint_state == "gone";
     auto const pauses =
@@ -203,6 +199,16 @@
     if (pauses) state.paused_until = now + settings_.refusal_pause;
 }
 
+auto endpoint_router::on_finished(std::string_view host) -> void
+{
+    auto const found = states_.find(host);
+    if (found == states_.end()) return;
+    auto& state = found->second;
+    state.own_in_flight = std::max(0, state.own_in_flight - 1);
+    state.failures = 0;
+    state.ejected = state.probing = false;
+}
+
 auto endpoint_router::on_failure(std::string_view host, time_point now) -> void
 {
     auto const found = states_.find(host);
