Add transfer and activation of model weights

Adds the manifest, the bounded chunk store, the chunk plan (rendezvous owner draws, followers take over, peers rarest first), the transfer with verification on its own thread, the chunk server, link budgets, fencing numbers, the rollout rule and the service that follows the declared version. Builds; not yet covered by tests.

--- /dev/null
+++ b/include/hibiscuswall/platform/weight_source_client.hpp
@@ -0,0 +1,45 @@
+#pragma once
+// The platform's weight store and origin (docs/platform.md): manifests, and chunks by range request.
+//
+//   auto source = weight_source_client{client, {store, origin}, milliseconds{1000}};
+//   auto text = co_await source.manifest("m", "v1");
+//   auto opened = co_await source.open_chunk(digest, size);
+//
+// Sources are tried in order. One that asked to wait (429) is left out until its Retry-After has passed;
+// when all are waiting, the error is chunk_unavailable and available_at() tells when to come back.
+
+#include "hibiscuswall/http/http_client.hpp"
+
+#include <string>
+#include <vector>
+
+namespace hibiscuswall {
+
+class weight_source_client {
+public:
+    weight_source_client(http_client& client, std::vector<address> sources, milliseconds timeout);
+
+    auto manifest(std::string model, std::string version) -> asio::awaitable<result<std::string>>;
+
+    // Streams the chunk; timeout is that of each piece.
+    auto open_chunk(std::string digest, std::uint64_t size, milliseconds timeout)
+        -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
+
+    // When the first source may be asked again.
+    [[nodiscard]] auto available_at() const -> time_point;
+
+private:
+    struct source {
+        address where;
+        time_point wait_until;
+    };
+
+    auto open(http_request request, milliseconds timeout)
+        -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
+
+    http_client& client_;
+    std::vector<source> sources_;
+    milliseconds timeout_;
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/include/hibiscuswall/weights/chunk_server.hpp
@@ -0,0 +1,37 @@
+#pragma once
+// Serves verified chunks to peers and whole versions to the local engine.
+//
+//   auto server = chunk_server{context, store, upload, settings};     // adds its routes and methods
+//
+// GET /chunks/{sha256}[?version=ID]: the chunk, by range if asked; 404 not held; 503 when every upload slot
+// is taken. With ?version= the answer's header Hw-Have tells which chunks of it are held here. GET
+// /weights/{version}: the whole, once it is complete. weights.have {version} -> {chunks}; weights.manifest
+// {version} -> {manifest}.
+
+#include "hibiscuswall/core/process_context.hpp"
+#include "hibiscuswall/weights/chunk_store.hpp"
+#include "hibiscuswall/weights/link_budget.hpp"
+#include "hibiscuswall/weights/weights_settings.hpp"
+
+namespace hibiscuswall {
+
+class chunk_server {
+public:
+    chunk_server(process_context& context, chunk_store& store, link_budget& upload,
+                 weights_settings const& settings);
+
+private:
+    auto serve_chunk(http_request const& request, http_responder& out) -> asio::awaitable<void>;
+    auto serve_whole(http_request const& request, http_responder& out) -> asio::awaitable<void>;
+    auto send_paced(chunk_bytes bytes, std::size_t first, std::size_t size, int status, http_headers headers,
+                    http_responder& out) -> asio::awaitable<void>;
+    [[nodiscard]] auto find_version(std::string_view name) const -> manifest_ptr;
+
+    process_context& context_;
+    chunk_store& store_;
+    link_budget& upload_;
+    std::size_t slots_;
+    std::size_t sending_ = 0;
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -0,0 +1,77 @@
+#pragma once
+// Fetches one version from peers, store and origin until it is whole and verified, several chunks at a time.
+//
+//   auto moving = std::make_shared<transfer>(parts, version, hosts);
+//   auto done = co_await moving->run();      // cancelled after cancel(), else only returns when whole
+//
+// Failures of single fetches are no errors: the chunk is fetched from elsewhere, by the chunk plan.
+
+#include "hibiscuswall/core/process_context.hpp"
+#include "hibiscuswall/platform/weight_source_client.hpp"
+#include "hibiscuswall/weights/chunk_plan.hpp"
+#include "hibiscuswall/weights/chunk_store.hpp"
+#include "hibiscuswall/weights/link_budget.hpp"
+#include "hibiscuswall/weights/verifier.hpp"
+#include "hibiscuswall/weights/weights_settings.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hibiscuswall {
+
+// What every transfer of a host shares.
+struct transfer_parts {
+    process_context& context;
+    weights_settings const& settings;
+    chunk_store& store;
+    verifier& digests;
+    weight_source_client& source;
+    link_budget& download;
+};
+
+class transfer : public std::enable_shared_from_this<transfer> {
+public:
+    // The live agents of the region that should serve the version.
+    using host_function = std::function<std::vector<member>()>;
+
+    transfer(transfer_parts& parts, manifest_ptr version, host_function hosts);
+
+    auto run() -> asio::awaitable<result<void>>;
+    auto cancel() -> void;
+
+    [[nodiscard]] auto held_chunks() const -> std::size_t { return plan_.held_count(); }
+
+private:
+    // Bytes, or why there are none.
+    using fetched = std::variant<chunk_bytes, fetch_failure>;
+
+    auto refresh_hosts() -> void;
+    auto start_fetches() -> void;
+    auto poll_loop() -> asio::awaitable<void>;
+    auto poll(std::string name) -> asio::awaitable<void>;
+    auto survey() -> asio::awaitable<void>;
+    auto fetch(chunk_fetch what) -> asio::awaitable<void>;
+    auto from_source(std::size_t chunk) -> asio::awaitable<fetched>;
+    auto from_peer(std::size_t chunk, std::string name) -> asio::awaitable<fetched>;
+    auto read_chunk(std::unique_ptr<http_stream> stream, std::uint64_t size) -> asio::awaitable<fetched>;
+    auto note_failure(chunk_fetch const& what, fetch_failure why) -> void;
+    auto verify_whole() -> asio::awaitable<bool>;
+    auto wait(milliseconds longest) -> asio::awaitable<void>;
+    auto wake() -> void { woken_.cancel(); }
+
+    transfer_parts& parts_;
+    manifest_ptr version_;
+    host_function hosts_;
+    chunk_plan plan_;
+    std::map<std::string, address, std::less<>> addresses_;
+    time_point hosts_refreshed_;
+    asio::steady_timer woken_;
+    std::size_t polls_ = 0; // questions to peers in flight
+    bool cancelled_ = false;
+};
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/lifecycle/version_machine.cpp
@@ -0,0 +1,121 @@
+#include "hibiscuswall/lifecycle/version_machine.hpp"
+
+// 20 rows by default; the table below needs fewer than this.
+#define BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS
+#define BOOST_MPL_LIMIT_LIST_SIZE 30
+#define BOOST_MPL_LIMIT_VECTOR_SIZE 30
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+
+namespace hibiscuswall {
+namespace {
+
+namespace msm = boost::msm;
+namespace front = boost::msm::front;
+
+struct transfer_begun {};
+struct whole_verified {};
+struct load_begun {};
+struct load_put_off {};
+struct load_confirmed {};
+struct engine_lost {};
+struct gave_up {};
+struct retried {};
+
+struct table : front::state_machine_def<table> {
+    struct declared : front::state<> {};
+    struct transferring : front::state<> {};
+    struct verified : front::state<> {};
+    struct loading : front::state<> {};
+    struct active : front::state<> {};
+    struct failed : front::state<> {};
+    using initial_state = declared;
+
+    template<class Source, class Event, class Target>
+    using row = front::Row<Source, Event, Target, front::none, front::none>;
+
+    struct transition_table
+        : boost::mpl::vector<row<declared, transfer_begun, transferring>, row<declared, gave_up, failed>,
+                             row<transferring, whole_verified, verified>, row<transferring, gave_up, failed>,
+                             row<verified, load_begun, loading>, row<verified, load_confirmed, active>,
+                             row<verified, gave_up, failed>, row<loading, load_put_off, verified>,
+                             row<loading, load_confirmed, active>, row<loading, gave_up, failed>,
+                             row<active, engine_lost, verified>, row<failed, retried, declared>> {};
+
+    bool refused = false;
+
+    template<class Machine, class Event>
+    void no_transition(Event const& /*event*/, Machine& /*machine*/, int /*state*/)
+    {
+        refused = true;
+    }
+};
+
+// The states are numbered in the order in which the transition table names them as sources.
+constexpr auto states =
+    std::array{version_state::declared, version_state::transferring, version_state::verified,
+               version_state::loading,  version_state::active,       version_state::failed};
+
+} // namespace
+
+struct version_machine::implementation {
+    msm::back::state_machine<table> machine;
+
+    template<class Event>
+    auto process(Event const& event) -> bool
+    {
+        machine.refused = false;
+        machine.process_event(event);
+        return !machine.refused;
+    }
+};
+
+version_machine::version_machine() : implementation_{std::make_unique<implementation>()}
+{
+    implementation_->machine.start();
+}
+
+version_machine::~version_machine() = default;
+version_machine::version_machine(version_machine&&) noexcept = default;
+auto version_machine::operator=(version_machine&&) noexcept -> version_machine& = default;
+
+auto version_machine::on(version_event event) -> bool
+{
+    switch (event) {
+    case version_event::transfer_begun:
+        return implementation_->process(transfer_begun{});
+    case version_event::whole_verified:
+        return implementation_->process(whole_verified{});
+    case version_event::load_begun:
+        return implementation_->process(load_begun{});
+    case version_event::load_put_off:
+        return implementation_->process(load_put_off{});
+    case version_event::load_confirmed:
+        return implementation_->process(load_confirmed{});
+    case version_event::engine_lost:
+        return implementation_->process(engine_lost{});
+    case version_event::gave_up:
+        return implementation_->process(gave_up{});
+    case version_event::retried:
+        return implementation_->process(retried{});
+    }
+    return false;
+}
+
+auto version_machine::state() const -> version_state
+{
+    return states.at(static_cast<std::size_t>(*implementation_->machine.current_state()));
+}
+
+auto version_state_text(version_state state) -> std::string_view
+{
+    constexpr auto names = std::array<std::string_view, 6>{"declared", "transferring", "verified",
+                                                           "loading",  "active",       "failed"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/platform/weight_source_client.cpp
@@ -0,0 +1,91 @@
+#include "hibiscuswall/platform/weight_source_client.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto shortest_wait = milliseconds{10};
+constexpr auto default_wait = milliseconds{1'000}; // 429 without Retry-After
+constexpr auto failure_wait = milliseconds{500};   // source without an answer, or with an error status
+
+// Retry-After in seconds; a fraction is accepted.
+auto retry_after(http_headers const& headers) -> milliseconds
+{
+    auto const text = std::string{headers.find("Retry-After")};
+    char* end = nullptr;
+    auto const value = std::strtod(text.c_str(), &end);
+    if (text.empty() || end == text.c_str() || !std::isfinite(value) || value < 0 || value > 3600)
+        return default_wait;
+    return std::max(shortest_wait, milliseconds{static_cast<long long>(value * 1000)});
+}
+
+} // namespace
+
+weight_source_client::weight_source_client(http_client& client, std::vector<address> sources,
+                                           milliseconds timeout)
+    : client_{client}, timeout_{timeout}
+{
+    for (auto& where : sources)
+        if (!where.empty()) sources_.push_back({std::move(where), {}});
+}
+
+auto weight_source_client::available_at() const -> time_point
+{
+    auto const first =
+        std::min_element(sources_.begin(), sources_.end(), [](auto const& left, auto const& right) {
+            return left.wait_until < right.wait_until;
+        });
+    return first == sources_.end() ? time_point::max() : first->wait_until;
+}
+
+auto weight_source_client::open(http_request request, milliseconds timeout)
+    -> asio::awaitable<result<std::unique_ptr<http_stream>>>
+{
+    auto last = fail(result_code::chunk_unavailable, "no source can be asked now: " + request.target);
+    auto options = http_call_options{};
+    options.connect_timeout = timeout_;
+    options.timeout = timeout;
+    for (auto i = std::size_t{0}; i < sources_.size(); ++i) {
+        if (sources_[i].wait_until > clock::now()) continue;
+        auto opened = co_await client_.open(sources_[i].where, request, options);
+        if (!opened) {
+            sources_[i].wait_until = clock::now() + failure_wait;
+            last = opened.error();
+            continue;
+        }
+        auto const status = opened.value()->status();
+        if (status == 200 || status == 206) co_return std::move(opened).value();
+        last = fail(result_code::chunk_unavailable,
+                    sources_[i].where.text() + request.target + ": status " + std::to_string(status));
+        if (status == 429 || status == 503)
+            sources_[i].wait_until = clock::now() + retry_after(opened.value()->headers());
+        // Reads the short error body so that the connection can be used again.
+        co_await opened.value()->read_all();
+    }
+    co_return last;
+}
+
+auto weight_source_client::manifest(std::string model, std::string version)
+    -> asio::awaitable<result<std::string>>
+{
+    auto request = http_request{};
+    request.target = "/v1/models/" + percent_encode(model) + "/" + percent_encode(version) + "/manifest";
+    auto opened = co_await open(std::move(request), timeout_);
+    if (!opened) co_return opened.error();
+    co_return co_await opened.value()->read_all();
+}
+
+auto weight_source_client::open_chunk(std::string digest, std::uint64_t size, milliseconds timeout)
+    -> asio::awaitable<result<std::unique_ptr<http_stream>>>
+{
+    auto request = http_request{};
+    request.target = "/v1/blobs/" + digest;
+    request.headers.set("Range", "bytes=0-" + std::to_string(size - 1));
+    co_return co_await open(std::move(request), timeout);
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/weights/activation.cpp
@@ -0,0 +1,111 @@
+// GCC 12 takes the allocation and release of Asio's coroutine frames for a mismatched pair once both are inlined.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "hibiscuswall/weights/activation.hpp"
+
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
+#include "hibiscuswall/weights/fencing.hpp"
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto order_attempts = 4; // orders that a paused process or an old fencing number voided
+
+} // namespace
+
+auto activation::reports(served_weights target) -> asio::awaitable<result<bool>>
+{
+    auto status = co_await engine_.status();
+    if (!status) co_return status.error();
+    auto const& now = status.value();
+    co_return now.state != engine_state::cold&& now.version == target.version&& now.manifest_digest ==
+        target.manifest_digest&& now.adapter == target.adapter;
+}
+
+auto activation::probe(served_weights target) -> asio::awaitable<result<void>>
+{
+    auto const until = clock::now() + settings_.load_timeout;
+    while (clock::now() < until) {
+        auto same = co_await reports(target);
+        if (same && same.value()) co_return success();
+        co_await sleep_for(settings_.probe_period);
+    }
+    co_return fail(result_code::load_rejected, "the engine did not report " + target.manifest_digest);
+}
+
+auto activation::send_order(served_weights target) -> asio::awaitable<result<void>>
+{
+    auto last = fail(result_code::fencing_outdated, "no order was sent");
+    for (auto i = 0; i < order_attempts; ++i) {
+        auto const taken_at = clock::now();
+        auto number = co_await next_fencing_number(store_, context_.self.name);
+        if (!number) co_return number.error();
+        auto const now = clock::now();
+        if (wanted_ && !wanted_()) co_return fail(result_code::cancelled, "the declared version changed");
+        if (now - taken_at > settings_.clock_gap) {
+            last = fail(result_code::fencing_outdated, "paused between fencing number and order");
+            continue;
+        }
+        if (!config_.confirmed(now))
+            co_return fail(result_code::configuration_unconfirmed,
+                           "no order under an unconfirmed configuration");
+        auto order = load_order{target.model,           target.adapter, target.version,
+                                target.manifest_digest, number.value(), context_.self.control};
+        context_.events.record("load_ordered",
+                               {{"version", target.version}, {"fencing", std::to_string(number.value())}});
+        auto loaded = co_await engine_.load(std::move(order));
+        if (loaded) co_return co_await probe(target);
+        last = loaded.error();
+        if (last.code == result_code::fencing_outdated) continue;
+        if (last.code == result_code::load_rejected) co_return last;
+        // The answer was lost: the status tells whether the order took effect.
+        co_return co_await probe(target);
+    }
+    co_return last;
+}
+
+auto activation::order(served_weights target, std::function<bool()> wanted) -> asio::awaitable<result<void>>
+{
+    wanted_ = std::move(wanted);
+    // Without the store there is no fencing number: learn that before the endpoint is drained.
+    auto reachable = co_await store_.find("fencing/" + context_.self.name);
+    if (!reachable) co_return reachable.error();
+    auto const previous = gate_.serving();
+    auto const drained = co_await gate_.drain(settings_.drain_timeout);
+    if (!drained) {
+        if (previous) gate_.serve(*previous);
+        co_return fail(result_code::endpoint_draining, "requests remain in flight");
+    }
+    auto done = co_await send_order(target);
+    if (done) {
+        gate_.serve(target);
+        co_return success();
+    }
+    log_event(log_level::error, "load_failed",
+              {{"version", target.version}, {"reason", done.error().message}});
+    context_.events.record("load_failed", {{"version", target.version}, {"reason", done.error().message}});
+    wanted_ = nullptr; // the old weights are wanted in any case
+    co_await restore(previous);
+    co_return done.error();
+}
+
+auto activation::restore(std::optional<served_weights> previous) -> asio::awaitable<void>
+{
+    if (!previous) {
+        gate_.close(result_code::endpoint_cold);
+        co_return;
+    }
+    auto const weights = *previous;
+    auto same = co_await reports(weights);
+    if (!same || !same.value()) {
+        auto again = co_await send_order(weights);
+        if (!again) {
+            gate_.close(result_code::endpoint_cold);
+            co_return;
+        }
+    }
+    gate_.serve(weights);
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/weights/chunk_plan.cpp
@@ -0,0 +1,252 @@
+#include "hibiscuswall/weights/chunk_plan.hpp"
+
+#include "hibiscuswall/core/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace hibiscuswall {
+namespace {
+
+// The host that draws a chunk and its followers; beyond them the rank order is not needed.
+constexpr auto ranked_hosts = std::size_t{8};
+
+} // namespace
+
+chunk_plan::chunk_plan(std::span<chunk_entry const> chunks, std::string self, chunk_plan_settings settings,
+                       time_point now)
+    : self_{std::move(self)}, settings_{settings}, chunks_(chunks.size()), source_until_{now}
+{
+    for (auto i = std::size_t{0}; i < chunks.size(); ++i)
+        chunks_[i].digest = chunks[i].sha256;
+}
+
+auto chunk_plan::set_hosts(std::vector<std::string> const& names, time_point now) -> void
+{
+    auto list = names;
+    if (std::find(list.begin(), list.end(), self_) == list.end()) list.push_back(self_);
+    std::sort(list.begin(), list.end());
+    if (list == hosts_) return;
+    hosts_ = std::move(list);
+    for (auto& [name, peer] : peers_)
+        peer.live = false;
+    for (auto const& name : hosts_) {
+        if (name == self_) continue;
+        auto const [entry, added] = peers_.try_emplace(name);
+        auto& peer = entry->second;
+        peer.live = true;
+        if (!added) continue;
+        peer.has.resize(chunks_.size());
+        peer.last_heard = now;
+        peer.last_progress = now;
+    }
+    for (auto& chunk : chunks_) {
+        chunk.rank = rendezvous_rank(chunk.digest, hosts_);
+        chunk.rank.resize(std::min(chunk.rank.size(), ranked_hosts));
+    }
+    count_holders();
+}
+
+auto chunk_plan::count_holders() -> void
+{
+    for (auto& chunk : chunks_)
+        chunk.holders = 0;
+    for (auto const& [name, peer] : peers_)
+        for (auto i = std::size_t{0}; peer.live && i < chunks_.size(); ++i)
+            chunks_[i].holders += peer.has[i] ? 1 : 0;
+}
+
+auto chunk_plan::peer_has(std::string_view name, std::vector<bool> const& chunks, time_point now) -> void
+{
+    auto const entry = peers_.find(name);
+    if (entry == peers_.end()) return;
+    auto& peer = entry->second;
+    auto count = std::size_t{0};
+    for (auto i = std::size_t{0}; i < chunks_.size(); ++i) {
+        auto const has = i < chunks.size() && chunks[i];
+        count += has ? 1 : 0;
+        if (has == peer.has[i]) continue;
+        peer.has[i] = has;
+        if (!peer.live) continue;
+        chunks_[i].holders += has ? 1 : 0;
+        chunks_[i].holders -= has ? 0 : 1;
+    }
+    // A peer that lost its chunks (a restart) is progressing too: it starts again.
+    if (count != peer.has_count || !peer.heard || peer.unreachable) peer.last_progress = now;
+    peer.has_count = count;
+    peer.heard = true;
+    peer.unreachable = false;
+    peer.last_heard = now;
+}
+
+auto chunk_plan::peer_unreachable(std::string_view name, time_point now) -> void
+{
+    auto const entry = peers_.find(name);
+    if (entry == peers_.end()) return;
+    entry->second.unreachable = true;
+    entry->second.last_heard = now;
+    entry->second.ask_after = now + settings_.progress_deadline;
+}
+
+auto chunk_plan::usable(peer_state const& peer, time_point now) const -> bool
+{
+    return peer.live && !peer.unreachable && peer.ask_after <= now && peer.avoid_until <= now &&
+           peer.in_flight < settings_.fetches_per_peer;
+}
+
+auto chunk_plan::is_late(std::string const& host, time_point now) const -> bool
+{
+    auto const entry = peers_.find(host);
+    if (entry == peers_.end()) return true;
+    auto const& peer = entry->second;
+    if (!peer.live || peer.unreachable || peer.avoid_until > now) return true;
+    // Judged only by what was heard from it: silence on our side proves nothing about the peer.
+    return peer.heard && peer.last_heard - peer.last_progress > settings_.progress_deadline;
+}
+
+auto chunk_plan::may_draw(chunk_state const& chunk, time_point now) const -> bool
+{
+    for (auto const& host : chunk.rank) {
+        if (host == self_) return true;
+        if (!is_late(host, now)) return false;
+    }
+    return false;
+}
+
+auto chunk_plan::next(time_point now, random_source& random) -> std::optional<chunk_fetch>
+{
+    if (draws_ < settings_.draws && source_until_ <= now)
+        if (auto draw = next_draw(now, random)) return draw;
+    if (in_flight_ - draws_ >= settings_.fetches) return std::nullopt;
+    return next_from_peer(now, random);
+}
+
+auto chunk_plan::next_draw(time_point now, random_source& random) -> std::optional<chunk_fetch>
+{
+    auto choices = std::vector<std::size_t>{};
+    for (auto i = std::size_t{0}; i < chunks_.size(); ++i) {
+        auto const& chunk = chunks_[i];
+        if (chunk.held || chunk.busy || chunk.holders > 0 || !may_draw(chunk, now)) continue;
+        choices.push_back(i);
+    }
+    if (choices.empty()) return std::nullopt;
+    auto const chosen = choices[random.below(choices.size())];
+    chunks_[chosen].busy = true;
+    ++in_flight_;
+    ++draws_;
+    return chunk_fetch{chosen, {}};
+}
+
+auto chunk_plan::next_from_peer(time_point now, random_source& random) -> std::optional<chunk_fetch>
+{
+    auto open = std::vector<std::pair<std::string const*, peer_state*>>{};
+    for (auto& [name, peer] : peers_)
+        if (peer.has_count > 0 && usable(peer, now)) open.emplace_back(&name, &peer);
+    if (open.empty()) return std::nullopt;
+
+    // Rarest first; equal ones in random order, so that the hosts do not all ask for the same chunk.
+    auto order = std::vector<std::pair<std::size_t, std::size_t>>{};
+    for (auto i = std::size_t{0}; i < chunks_.size(); ++i)
+        if (!chunks_[i].held && !chunks_[i].busy && chunks_[i].holders > 0)
+            order.emplace_back(chunks_[i].holders, i);
+    std::shuffle(order.begin(), order.end(), random.engine());
+    std::stable_sort(order.begin(), order.end(),
+                     [](auto const& left, auto const& right) { return left.first < right.first; });
+    for (auto const& [holders, index] : order) {
+        auto best = std::pair<std::string const*, peer_state*>{nullptr, nullptr};
+        auto ties = std::size_t{0};
+        for (auto const& [name, peer] : open) {
+            if (!peer->has[index]) continue;
+            if (best.second != nullptr && peer->in_flight > best.second->in_flight) continue;
+            ties = best.second != nullptr && peer->in_flight == best.second->in_flight ? ties + 1 : 1;
+            if (random.below(ties) == 0) best = {name, peer};
+        }
+        if (best.second == nullptr) continue;
+        chunks_[index].busy = true;
+        ++in_flight_;
+        ++best.second->in_flight;
+        return chunk_fetch{index, *best.first};
+    }
+    return std::nullopt;
+}
+
+auto chunk_plan::ended(chunk_fetch const& fetch) -> void
+{
+    --in_flight_;
+    if (fetch.from_source())
+        --draws_;
+    else if (auto const entry = peers_.find(fetch.peer); entry != peers_.end())
+        --entry->second.in_flight;
+}
+
+auto chunk_plan::held(std::size_t chunk) -> void
+{
+    auto& state = chunks_[chunk];
+    state.busy = false;
+    if (state.held) return;
+    state.held = true;
+    ++held_count_;
+}
+
+auto chunk_plan::failed(chunk_fetch const& fetch, fetch_failure why, time_point now) -> void
+{
+    chunks_[fetch.chunk].busy = false;
+    if (fetch.from_source()) {
+        if (why != fetch_failure::limited) source_until_ = now + settings_.busy_pause;
+        return;
+    }
+    auto const entry = peers_.find(fetch.peer);
+    if (entry == peers_.end()) return;
+    auto& peer = entry->second;
+    switch (why) {
+    case fetch_failure::busy:
+    case fetch_failure::limited:
+        peer.ask_after = now + settings_.busy_pause;
+        break;
+    case fetch_failure::absent:
+        if (peer.has[fetch.chunk]) {
+            peer.has[fetch.chunk] = false;
+            --peer.has_count;
+            if (peer.live) --chunks_[fetch.chunk].holders;
+        }
+        break;
+    case fetch_failure::unreachable:
+        peer_unreachable(fetch.peer, now);
+        break;
+    case fetch_failure::stalled:
+    case fetch_failure::corrupt:
+        peer.avoid_until = now + settings_.avoid_time;
+        break;
+    }
+}
+
+auto chunk_plan::peers_to_ask(std::size_t count, time_point now) const -> std::vector<std::string>
+{
+    // Hosts that draw chunks nobody is known to hold are asked sooner.
+    auto drawing = std::map<std::string_view, bool>{};
+    for (auto const& chunk : chunks_)
+        if (!chunk.held && chunk.holders == 0 && !chunk.rank.empty()) drawing[chunk.rank.front()] = true;
+    auto list = std::vector<std::pair<time_point, std::string>>{};
+    for (auto const& [name, peer] : peers_) {
+        if (!peer.live || peer.has_count == chunks_.size() || (peer.unreachable && peer.ask_after > now))
+            continue;
+        auto when = peer.heard ? peer.last_heard : time_point{};
+        if (drawing.count(name) == 0) when += settings_.progress_deadline / 4;
+        list.emplace_back(when, name);
+    }
+    auto const size = std::min(count, list.size());
+    std::partial_sort(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(size), list.end());
+    auto names = std::vector<std::string>{};
+    for (auto i = std::size_t{0}; i < size; ++i)
+        names.push_back(list[i].second);
+    return names;
+}
+
+auto chunk_plan::rank(std::size_t chunk) const -> std::optional<std::size_t>
+{
+    auto const& order = chunks_[chunk].rank;
+    auto const found = std::find(order.begin(), order.end(), self_);
+    if (found == order.end()) return std::nullopt;
+    return static_cast<std::size_t>(found - order.begin());
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/weights/manifest.cpp
@@ -0,0 +1,64 @@
+#include "hibiscuswall/weights/manifest.hpp"
+
+#include "hibiscuswall/core/sha256.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <initializer_list>
+
+namespace hibiscuswall {
+namespace {
+
+auto is_digest(std::string_view text) -> bool
+{
+    return text.size() == 64 && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+auto has_exactly(nlohmann::json const& value, std::initializer_list<char const*> keys) -> bool
+{
+    return value.is_object() && value.size() == keys.size() &&
+           std::all_of(keys.begin(), keys.end(), [&](auto const* key) { return value.contains(key); });
+}
+
+auto invalid(std::string const& what) -> error { return fail(result_code::manifest_invalid, what); }
+
+} // namespace
+
+auto parse_manifest(std::string_view text) -> result<manifest>
+{
+    auto const body = nlohmann::json::parse(text, nullptr, false);
+    if (!has_exactly(body, {"model", "version", "size", "sha256", "chunks"}))
+        return invalid("manifest: not an object with model, version, size, sha256 and chunks");
+    for (auto const* key : {"model", "version", "sha256"})
+        if (!body[key].is_string() || body[key].get_ref<std::string const&>().empty())
+            return invalid(std::string{key} + ": not a text");
+    if (!body["size"].is_number_unsigned()) return invalid("size: not a number of bytes");
+    if (!body["chunks"].is_array() || body["chunks"].empty() || body["chunks"].size() > max_chunks)
+        return invalid("chunks: not a list of 1 to " + std::to_string(max_chunks));
+
+    auto parsed = manifest{};
+    parsed.model = body["model"];
+    parsed.version = body["version"];
+    parsed.size = body["size"];
+    parsed.sha256 = body["sha256"];
+    if (!is_digest(parsed.sha256)) return invalid("sha256: not 64 lower-case hexadecimal digits");
+    auto total = std::uint64_t{0};
+    for (auto const& item : body["chunks"]) {
+        auto const path = "chunks[" + std::to_string(parsed.chunks.size()) + "]";
+        if (!has_exactly(item, {"sha256", "size"}) || !item["sha256"].is_string() ||
+            !item["size"].is_number_unsigned())
+            return invalid(path + ": not an object with sha256 and size");
+        auto entry = chunk_entry{item["sha256"], item["size"]};
+        if (!is_digest(entry.sha256)) return invalid(path + ".sha256: not a digest");
+        if (entry.size == 0 || entry.size > max_chunk_bytes) return invalid(path + ".size: out of range");
+        total += entry.size;
+        parsed.chunks.push_back(std::move(entry));
+    }
+    if (total != parsed.size) return invalid("size: differs from the sum of the chunks");
+    parsed.text = text;
+    parsed.digest = sha256(text);
+    return parsed;
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/weights/transfer.cpp
@@ -0,0 +1,253 @@
+#include "hibiscuswall/weights/transfer.hpp"
+
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
+#include "hibiscuswall/weights/chunk_bitmap.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto loop_pause = milliseconds{20};    // until a busy peer or a waiting source is looked at again
+constexpr auto hosts_period = milliseconds{500}; // between looks at the member table
+constexpr auto survey_peers = std::size_t{16};   // asked before the first draw, so that a restarted host
+                                                 // does not draw what its region already holds
+constexpr auto survey_time = milliseconds{500};  // longest wait for their answers
+constexpr auto whole_deadlines = 5;              // a chunk takes at most this many progress deadlines
+
+auto failure_name(fetch_failure why) -> std::string_view
+{
+    switch (why) {
+    case fetch_failure::busy:
+        return "busy";
+    case fetch_failure::absent:
+        return "absent";
+    case fetch_failure::stalled:
+        return "stalled";
+    case fetch_failure::unreachable:
+        return "unreachable";
+    case fetch_failure::corrupt:
+        return "corrupt";
+    case fetch_failure::limited:
+        return "limited";
+    }
+    return "unknown";
+}
+
+auto to_failure(error const& problem) -> fetch_failure
+{
+    return problem.code == result_code::connect_failed || problem.code == result_code::connection_lost
+               ? fetch_failure::unreachable
+               : fetch_failure::stalled;
+}
+
+} // namespace
+
+transfer::transfer(transfer_parts& parts, manifest_ptr version, host_function hosts)
+    : parts_{parts}, version_{std::move(version)}, hosts_{std::move(hosts)}, plan_{version_->chunks,
+                                                                                   parts.context.self.name,
+                                                                                   parts.settings.plan,
+                                                                                   clock::now()},
+      woken_{parts.context.io, time_point::max()}
+{
+}
+
+auto transfer::cancel() -> void
+{
+    cancelled_ = true;
+    wake();
+}
+
+auto transfer::wait(milliseconds longest) -> asio::awaitable<void>
+{
+    woken_.expires_after(longest);
+    co_await woken_.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+auto transfer::refresh_hosts() -> void
+{
+    hosts_refreshed_ = clock::now();
+    auto names = std::vector<std::string>{};
+    if (parts_.settings.peers) {
+        for (auto const& host : hosts_()) {
+            names.push_back(host.name);
+            addresses_[host.name] = host.control;
+        }
+    }
+    plan_.set_hosts(names, hosts_refreshed_);
+}
+
+auto transfer::run() -> asio::awaitable<result<void>>
+{
+    auto const self = shared_from_this();
+    refresh_hosts();
+    co_await survey();
+    asio::co_spawn(parts_.context.io, poll_loop(), asio::detached);
+    while (!cancelled_) {
+        // Chunks may also arrive by another version's transfer that names the same digest.
+        for (auto i = std::size_t{0}; i < version_->chunks.size(); ++i)
+            if (!plan_.is_held(i) && parts_.store.find(version_->chunks[i].sha256) != nullptr) plan_.held(i);
+        if (plan_.complete()) {
+            if (co_await verify_whole()) break;
+            cancelled_ = true;
+            co_return fail(result_code::manifest_invalid,
+                           version_->id() + ": the chunks match, the whole does not");
+        }
+        if (clock::now() - hosts_refreshed_ > hosts_period) refresh_hosts();
+        start_fetches();
+        co_await wait(loop_pause);
+    }
+    auto const was_cancelled = cancelled_;
+    cancelled_ = true; // ends the poll loop
+    if (was_cancelled) co_return fail(result_code::cancelled, version_->id() + ": transfer cancelled");
+    co_return success();
+}
+
+auto transfer::start_fetches() -> void
+{
+    while (auto what = plan_.next(clock::now(), parts_.context.random))
+        asio::co_spawn(parts_.context.io, fetch(*what), asio::detached);
+}
+
+auto transfer::survey() -> asio::awaitable<void>
+{
+    auto const names = plan_.peers_to_ask(survey_peers, clock::now());
+    for (auto const& name : names)
+        asio::co_spawn(parts_.context.io, poll(name), asio::detached);
+    auto const until = clock::now() + survey_time;
+    while (polls_ > 0 && clock::now() < until && !cancelled_)
+        co_await wait(loop_pause);
+}
+
+auto transfer::poll_loop() -> asio::awaitable<void>
+{
+    auto const self = shared_from_this();
+    while (!cancelled_) {
+        for (auto const& name : plan_.peers_to_ask(parts_.settings.poll_peers, clock::now()))
+            if (polls_ < 2 * parts_.settings.poll_peers)
+                asio::co_spawn(parts_.context.io, poll(name), asio::detached);
+        co_await sleep_for(parts_.settings.poll_period);
+    }
+}
+
+auto transfer::poll(std::string name) -> asio::awaitable<void>
+{
+    auto const self = shared_from_this();
+    ++polls_;
+    auto params = nlohmann::json{{"version", version_->id()}};
+    auto answer = co_await rpc_call(parts_.context.client, addresses_[name], "weights.have",
+                                    std::move(params), parts_.settings.peer_timeout);
+    --polls_;
+    if (!answer)
+        plan_.peer_unreachable(name, clock::now());
+    else if (answer.value().is_object())
+        plan_.peer_has(name, chunks_from_hex(answer.value().value("chunks", ""), version_->chunks.size()),
+                       clock::now());
+    wake();
+}
+
+auto transfer::fetch(chunk_fetch what) -> asio::awaitable<void>
+{
+    auto const self = shared_from_this();
+    auto got =
+        what.from_source() ? co_await from_source(what.chunk) : co_await from_peer(what.chunk, what.peer);
+    plan_.ended(what);
+    wake();
+    if (auto const* why = std::get_if<fetch_failure>(&got)) {
+        note_failure(what, *why);
+        co_return;
+    }
+    auto const bytes = std::get<chunk_bytes>(got);
+    auto const& entry = version_->chunks[what.chunk];
+    auto parts = std::vector<chunk_bytes>{bytes};
+    auto const whole = bytes->size() == entry.size;
+    auto const good = whole && co_await parts_.digests.matches(std::move(parts), entry.sha256);
+    if (!good) {
+        note_failure(what, fetch_failure::corrupt);
+        wake();
+        co_return;
+    }
+    parts_.store.add(entry.sha256, bytes);
+    plan_.held(what.chunk);
+    parts_.context.measures.count("weights_fetched_bytes", {{"from", what.from_source() ? "source" : "peer"}},
+                                  static_cast<double>(bytes->size()));
+    wake();
+}
+
+auto transfer::note_failure(chunk_fetch const& what, fetch_failure why) -> void
+{
+    plan_.failed(what, why, clock::now());
+    parts_.context.measures.count("weights_fetch_failures", {{"reason", failure_name(why)}});
+    if (why == fetch_failure::busy || why == fetch_failure::limited || why == fetch_failure::absent) return;
+    log_event(log_level::warning, "chunk_fetch_failed",
+              {{"version", version_->id()},
+               {"chunk", std::to_string(what.chunk)},
+               {"from", what.from_source() ? "source" : what.peer},
+               {"reason", std::string{failure_name(why)}}});
+    parts_.context.events.record("chunk_fetch_failed", {{"version", version_->id()},
+                                                        {"chunk", std::to_string(what.chunk)},
+                                                        {"from", what.from_source() ? "source" : what.peer},
+                                                        {"reason", std::string{failure_name(why)}}});
+}
+
+auto transfer::from_source(std::size_t chunk) -> asio::awaitable<fetched>
+{
+    auto const entry = version_->chunks[chunk];
+    auto opened =
+        co_await parts_.source.open_chunk(entry.sha256, entry.size, parts_.settings.plan.progress_deadline);
+    if (!opened) {
+        plan_.pause_source(parts_.source.available_at());
+        co_return opened.error().code == result_code::chunk_unavailable ? fetch_failure::limited
+                                                                        : to_failure(opened.error());
+    }
+    co_return co_await read_chunk(std::move(opened).value(), entry.size);
+}
+
+auto transfer::from_peer(std::size_t chunk, std::string name) -> asio::awaitable<fetched>
+{
+    auto request = http_request{};
+    request.target =
+        "/chunks/" + version_->chunks[chunk].sha256 + "?version=" + percent_encode(version_->id());
+    auto options = http_call_options{};
+    options.connect_timeout = parts_.settings.peer_timeout;
+    options.timeout = parts_.settings.plan.progress_deadline;
+    auto opened = co_await parts_.context.client.open(addresses_[name], std::move(request), options);
+    if (!opened) co_return to_failure(opened.error());
+    auto& stream = *opened.value();
+    auto const have = stream.headers().find("Hw-Have");
+    if (!have.empty()) plan_.peer_has(name, chunks_from_hex(have, version_->chunks.size()), clock::now());
+    auto const status = stream.status();
+    if (status != 200) {
+        co_await stream.read_all();
+        co_return status == 503 ? fetch_failure::busy : fetch_failure::absent;
+    }
+    co_return co_await read_chunk(std::move(opened).value(), version_->chunks[chunk].size);
+}
+
+auto transfer::read_chunk(std::unique_ptr<http_stream> stream, std::uint64_t size) -> asio::awaitable<fetched>
+{
+    auto bytes = std::make_shared<std::string>();
+    bytes->reserve(size);
+    auto const until = clock::now() + whole_deadlines * parts_.settings.plan.progress_deadline;
+    while (true) {
+        auto piece = co_await stream->read();
+        if (!piece) co_return to_failure(piece.error());
+        if (!piece.value()) co_return chunk_bytes{std::move(bytes)};
+        if (bytes->size() + piece.value()->size() > size) co_return fetch_failure::corrupt;
+        *bytes += *piece.value();
+        co_await parts_.download.bulk(piece.value()->size());
+        if (clock::now() > until) co_return fetch_failure::stalled;
+    }
+}
+
+auto transfer::verify_whole() -> asio::awaitable<bool>
+{
+    auto parts = parts_.store.whole(*version_);
+    co_return !parts.empty() && co_await parts_.digests.matches(std::move(parts), version_->sha256);
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/weights/weights_service.cpp
@@ -0,0 +1,259 @@
+// GCC 12 takes the allocation and release of Asio's coroutine frames for a mismatched pair once both are inlined.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+#include "hibiscuswall/weights/weights_service.hpp"
+
+#include "hibiscuswall/core/rendezvous.hpp"
+#include "hibiscuswall/core/sha256.hpp"
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto retry_pause = milliseconds{500};   // after a manifest or an order that has to be tried again
+constexpr auto manifest_drawers = std::size_t{2}; // hosts of a region that ask the source for a manifest
+constexpr auto manifest_patience = seconds{5};    // then any host asks the source itself
+
+auto same_target(model_serving const& left, model_serving const& right) -> bool
+{
+    return left.model == right.model && left.adapter == right.adapter && left.version == right.version &&
+           left.failure_domains == right.failure_domains && left.batch == right.batch;
+}
+
+auto id_of(model_serving const& target) -> std::string { return target.model + "/" + target.version; }
+
+} // namespace
+
+weights_service::weights_service(process_context& context, config_source& config, member_source& members,
+                                 key_value_client& store, engine_client* engine, endpoint_control& gate,
+                                 std::vector<address> sources, weights_settings settings)
+    : context_{context}, config_{config}, members_{members}, engine_{engine}, gate_{gate},
+      settings_{settings}, chunks_{settings.staged_bytes}, digests_{context.io},
+      source_{context.client, std::move(sources), settings.peer_timeout},
+      upload_{context.io, settings.upload_rate, settings.burst}, download_{context.io, settings.download_rate,
+                                                                           settings.burst},
+      server_{context, chunks_, upload_, settings_}, parts_{context,  settings_, chunks_,
+                                                            digests_, source_,   download_}
+{
+    if (engine_ != nullptr) activation_.emplace(context, config, store, *engine_, gate, settings_);
+    context_.rpc.add("weights.status",
+                     [this](nlohmann::json const& /*params*/) -> result<nlohmann::json> { return status(); });
+}
+
+weights_service::~weights_service() = default;
+
+auto weights_service::start() -> void
+{
+    if (engine_ == nullptr) return;
+    config_.subscribe([this](config_view const& view) { on_config(view); });
+    if (auto const view = config_.current()) on_config(*view);
+}
+
+auto weights_service::on_config(config_view const& view) -> void
+{
+    auto const* serving = view.serving_of_service(context_.self.service, context_.self.failure_domain);
+    // A withdrawn declaration changes nothing here: the engine keeps what it serves.
+    if (serving == nullptr || (target_ && same_target(*target_, *serving))) return;
+    target_ = *serving;
+    ++generation_;
+    auto const declared = id_of(*serving);
+    std::erase_if(records_, [&](auto const& entry) { return entry.first != active_id_; });
+    records_.erase(declared);
+    records_[declared].declared_at = clock::now();
+    if (moving_ != nullptr) moving_->cancel();
+    context_.events.record("weights_declared", {{"version", id_of(*serving)}});
+    asio::co_spawn(context_.io, work(generation_, *serving), asio::detached);
+}
+
+// ---- one declared version, from the manifest to the engine
+
+auto weights_service::work(std::uint64_t generation, model_serving target) -> asio::awaitable<void>
+{
+    auto const id = id_of(target);
+    auto const version = co_await prepare(generation, target);
+    if (version == nullptr || !wanted(generation)) co_return;
+    auto const weights = served_weights{target.model, target.adapter, target.version, version->digest};
+    co_await adopt_loaded(weights);
+    if (!co_await stage(generation, id) || !wanted(generation)) co_return;
+    if (!co_await activate(generation, target, weights) || !wanted(generation)) co_return;
+    co_await watch_engine(generation, weights);
+}
+
+auto weights_service::prepare(std::uint64_t generation, model_serving target) -> asio::awaitable<manifest_ptr>
+{
+    auto const id = id_of(target);
+    while (wanted(generation)) {
+        auto found = co_await fetch_manifest(target);
+        if (!wanted(generation)) break;
+        if (found) {
+            record_of(id).chunks = found.value();
+            auto const kept = make_room(found.value());
+            if (kept) co_return found.value();
+            give_up(id, kept.error());
+            break;
+        }
+        note(id, found.error());
+        co_await sleep_for(retry_pause);
+    }
+    co_return nullptr;
+}
+
+// Few hosts of a region ask the source, the others ask those: a manifest of many chunks is not small.
+auto weights_service::fetch_manifest(model_serving target) -> asio::awaitable<result<manifest_ptr>>
+{
+    auto const id = id_of(target);
+    if (auto held = chunks_.version(id)) co_return held;
+    auto names = std::vector<std::string>{context_.self.name};
+    for (auto const& host : region_hosts(target))
+        names.push_back(host.name);
+    auto const rank = rendezvous_rank(id, names);
+    auto text = std::string{};
+    for (auto i = std::size_t{0}; settings_.peers && i < std::min(rank.size(), manifest_drawers); ++i) {
+        auto const* peer = members_.find(rank[i]);
+        if (rank[i] == context_.self.name || peer == nullptr) continue;
+        auto const where = peer->control;
+        auto params = nlohmann::json{{"version", id}};
+        auto answer = co_await rpc_call(context_.client, where, "weights.manifest", std::move(params),
+                                        settings_.peer_timeout);
+        if (!answer || !answer.value().is_object()) continue;
+        text = answer.value().value("manifest", "");
+        if (sha256(text) == answer.value().value("digest", "")) break;
+        text.clear();
+    }
+    auto const position =
+        static_cast<std::size_t>(std::find(rank.begin(), rank.end(), context_.self.name) - rank.begin());
+    auto const draws = !settings_.peers || position < manifest_drawers ||
+                       clock::now() - record_of(id).declared_at > manifest_patience;
+    if (text.empty() && !draws)
+        co_return fail(result_code::chunk_unavailable, id + ": no peer has the manifest yet");
+    if (text.empty()) {
+        auto drawn = co_await source_.manifest(target.model, target.version);
+        if (!drawn) co_return drawn.error();
+        text = std::move(drawn).value();
+    }
+    auto parsed = parse_manifest(text);
+    if (!parsed) co_return parsed.error();
+    if (parsed.value().id() != id)
+        co_return fail(result_code::manifest_invalid, id + ": the manifest is of " + parsed.value().id());
+    co_return std::make_shared<manifest const>(std::move(parsed).value());
+}
+
+// Versions that are neither served nor wanted give way; the served one stays until the new one is active.
+auto weights_service::make_room(manifest_ptr const& wanted) -> result<void>
+{
+    auto const drop_others = [&] {
+        for (auto const& id : chunks_.versions())
+            if (id != wanted->id() && id != active_id_) chunks_.release(id);
+    };
+    auto kept = chunks_.reserve(wanted);
+    if (!kept) {
+        drop_others();
+        kept = chunks_.reserve(wanted);
+    } else {
+        drop_others();
+    }
+    context_.measures.set("weights_staged_bytes", {}, static_cast<double>(chunks_.reserved_bytes()));
+    return kept;
+}
+
+auto weights_service::stage(std::uint64_t generation, std::string id) -> asio::awaitable<bool>
+{
+    if (record_of(id).machine.state() == version_state::declared) advance(id, version_event::transfer_begun);
+    auto const version = record_of(id).chunks;
+    auto const mine = std::make_shared<transfer>(
+        parts_, version, [this] { return target_ ? region_hosts(*target_) : std::vector<member>{}; });
+    moving_ = mine;
+    auto const begun = clock::now();
+    auto done = co_await mine->run();
+    if (moving_ == mine) moving_.reset();
+    if (!wanted(generation)) co_return false;
+    if (!done) {
+        give_up(id, done.error());
+        co_return false;
+    }
+    auto const took = std::chrono::duration<double>(clock::now() - begun).count();
+    context_.measures.set("weights_transfer_seconds", {{"version", id}}, took);
+    if (record_of(id).machine.state() == version_state::transferring)
+        advance(id, version_event::whole_verified);
+    co_return true;
+}
+
+// ---- records and status
+
+auto weights_service::advance(std::string const& id, version_event event) -> void
+{
+    auto const found = records_.find(id);
+    if (found == records_.end()) return; // no longer declared
+    auto& record = found->second;
+    auto const before = record.machine.state();
+    if (!record.machine.on(event)) {
+        log_event(log_level::error, "version_transition_refused",
+                  {{"version", id}, {"state", std::string{version_state_text(before)}}});
+        return;
+    }
+    if (record.machine.state() == version_state::active) record.code = result_code::ok;
+    auto const state = std::string{version_state_text(record.machine.state())};
+    log_event(log_level::info, "version_state", {{"version", id}, {"state", state}});
+    context_.events.record("version_state", {{"version", id}, {"state", state}});
+}
+
+auto weights_service::note(std::string const& id, error const& why) -> void
+{
+    auto const found = records_.find(id);
+    if (found == records_.end()) return;
+    found->second.code = why.code;
+    found->second.reason = why.message;
+}
+
+auto weights_service::give_up(std::string const& id, error const& why) -> void
+{
+    note(id, why);
+    advance(id, version_event::gave_up);
+    log_event(log_level::error, "version_failed", {{"version", id}, {"reason", why.message}});
+}
+
+auto weights_service::region_hosts(model_serving const& target) const -> std::vector<member>
+{
+    auto hosts = members_.members();
+    auto const& domains = target.failure_domains;
+    std::erase_if(hosts, [&](member const& host) {
+        return host.role != member_role::agent || host.service != context_.self.service ||
+               host.region != context_.self.region || host.state == member_state::dead ||
+               std::find(domains.begin(), domains.end(), host.failure_domain) == domains.end();
+    });
+    return hosts;
+}
+
+auto weights_service::status() const -> nlohmann::json
+{
+    auto versions = nlohmann::json::array();
+    for (auto const& [id, record] : records_) {
+        auto item = nlohmann::json{{"version", id}, {"state", version_state_text(record.machine.state())}};
+        if (record.chunks != nullptr) {
+            auto const held = chunks_.held(*record.chunks);
+            item["chunks"] = held.size();
+            item["chunks_held"] = std::count(held.begin(), held.end(), true);
+            item["bytes"] = record.chunks->size;
+            item["manifest_digest"] = record.chunks->digest;
+        }
+        if (record.code != result_code::ok) {
+            item["code"] = static_cast<int>(record.code);
+            item["reason"] = record.reason;
+        }
+        versions.push_back(std::move(item));
+    }
+    return {{"host", context_.self.name},
+            {"active", active_id_},
+            {"declared", target_ ? id_of(*target_) : ""},
+            {"staged_bytes", chunks_.reserved_bytes()},
+            {"staged_limit", settings_.staged_bytes},
+            {"versions", std::move(versions)}};
+}
+
+} // namespace hibiscuswall
--- /dev/null
+++ b/src/weights/weights_settings.cpp
@@ -0,0 +1,39 @@
+#include "hibiscuswall/weights/weights_settings.hpp"
+
+namespace hibiscuswall {
+
+auto read_weights_settings(settings_reader reader) -> weights_settings
+{
+    constexpr auto most_bytes = 1LL << 50;
+    auto s = weights_settings{};
+    auto const bytes = [&](std::string_view key, std::uint64_t fallback) {
+        return static_cast<std::uint64_t>(
+            reader.integer(key, static_cast<long long>(fallback), 0, most_bytes));
+    };
+    auto const number = [&](std::string_view key, std::size_t fallback) {
+        return static_cast<std::size_t>(reader.integer(key, static_cast<long long>(fallback), 1, 1024));
+    };
+    s.staged_bytes = bytes("staged_bytes", s.staged_bytes);
+    s.upload_rate = bytes("upload_rate", s.upload_rate);
+    s.download_rate = bytes("download_rate", s.download_rate);
+    s.burst = bytes("burst_bytes", s.burst);
+    s.upload_slots = number("upload_slots", s.upload_slots);
+    s.peers = reader.boolean("peers", s.peers);
+    s.peer_timeout = reader.duration("peer_timeout_ms", s.peer_timeout);
+    s.poll_period = reader.duration("poll_period_ms", s.poll_period);
+    s.poll_peers = number("poll_peers", s.poll_peers);
+    s.drain_timeout = reader.duration("drain_timeout_ms", s.drain_timeout);
+    s.load_timeout = reader.duration("load_timeout_ms", s.load_timeout);
+    s.probe_period = reader.duration("probe_period_ms", s.probe_period);
+    s.clock_gap = reader.duration("clock_gap_ms", s.clock_gap);
+    s.plan.progress_deadline = reader.duration("progress_deadline_ms", s.plan.progress_deadline);
+    s.plan.avoid_time = reader.duration("avoid_ms", s.plan.avoid_time);
+    s.plan.busy_pause = reader.duration("busy_pause_ms", s.plan.busy_pause);
+    s.plan.fetches = number("fetches", s.plan.fetches);
+    s.plan.fetches_per_peer = number("fetches_per_peer", s.plan.fetches_per_peer);
+    s.plan.draws = number("draws", s.plan.draws);
+    reader.finish();
+    return s;
+}
+
+} // namespace hibiscuswall
