--- a/include/hibiscuswall/lifecycle/endpoint_settings.hpp
+++ b/include/hibiscuswall/lifecycle/endpoint_settings.hpp
@@ -13,7 +13,7 @@
     address where;                            // "address" of the engine or plain service
     std::string service;                      // "service": name of its Service resource
     service_type type = service_type::engine; // "type": "engine" or "plain"
-    bool enforces_fencing = true;             // "enforces_fencing": the engine refuses orders with an old
+    bool enforces_fencing = true;             // "fencing": "enforced" or "ignored"; whether it refuses an old
                                               // number; without it the status is read before each request
     milliseconds poll_interval{200};          // "poll_interval_ms": between two reads of the engine's status
     milliseconds status_timeout{1'000};       // "status_timeout_ms": of one status, order or cancel call
