--- a/standins/support/standin_program.hpp
+++ b/standins/support/standin_program.hpp
@@ -31,10 +31,11 @@
 public:
     static constexpr auto request_body_bytes = std::size_t{1024 * 1024}; // larger requests are answered 413
 
-    standin_program(std::string name, std::string const& purpose)
-        : name_{std::move(name)}, options_{name_, purpose}
+    // http_option names the option with the address of the HTTP listener.
+    standin_program(std::string name, std::string const& purpose, std::string http_option = "listen")
+        : name_{std::move(name)}, http_option_{std::move(http_option)}, options_{name_, purpose}
     {
-        options_.add_options()("listen", "ip:port", cxxopts::value<std::string>())(
+        options_.add_options()(http_option_, "ip:port", cxxopts::value<std::string>())(
             "seed", "seed of the random generator",
             cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this help");
     }
@@ -60,7 +61,7 @@
                 std::cout << options_.help();
                 return 0;
             }
-            auto where = parse_address(value<std::string>("listen"));
+            auto where = parse_address(value<std::string>(http_option_));
             if (!where) return usage(where.error().message);
             listen_ = where.value();
             random_ = random_source{value<std::uint64_t>("seed")};
@@ -101,6 +102,7 @@
 
 private:
     std::string name_;
+    std::string http_option_;
     cxxopts::Options options_;
     cxxopts::ParseResult given_;
     address listen_;
