--- a/standins/standin_kv.cpp
+++ b/standins/standin_kv.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr auto largest_value = std::size_t{1024 * 1024}; // bytes
 constexpr auto longest_watch = milliseconds{60'000};
 
 struct entry {
@@ -159,6 +160,7 @@
     {
         if (!co_await begin("put", true, out)) co_return;
         auto const key = key_of(request);
+        if (request.body.size() > largest_value) co_return co_await send_status(out, 413);
         auto const holder = request.query("lease");
         if (!holder.empty() && !leases_.contains(holder)) co_return co_await send_status(out, 404);
         if (!expected(request, key)) {
--- a/standins/support/standin_program.hpp
+++ b/standins/support/standin_program.hpp
@@ -29,7 +29,7 @@
 
 class standin_program {
 public:
-    static constexpr auto request_body_bytes = std::size_t{1024 * 1024}; // larger requests are answered 413
+    static constexpr auto request_body_bytes = std::size_t{4 * 1024 * 1024}; // larger requests are cut off
 
     // http_option names the option with the address of the HTTP listener.
     standin_program(std::string name, std::string const& purpose, std::string http_option = "listen")
