--- a/include/hibiscuswall/config/config_service.hpp
+++ b/include/hibiscuswall/config/config_service.hpp
@@ -19,6 +19,9 @@
 
 namespace hibiscuswall {
 
+// confirmed_age_ms of a peer's message; none when it is absent or malformed: then the peer confirms nothing.
+[[nodiscard]] auto confirmed_age_in(nlohmann::json const& message) -> std::optional<milliseconds>;
+
 class config_service : public config_source {
 public:
     config_service(process_context& context, key_value_client& store, member_source& members,
--- a/src/config/config_peers.cpp
+++ b/src/config/config_peers.cpp
@@ -15,13 +15,7 @@
 namespace hibiscuswall {
 namespace {
 
-auto age_from(nlohmann::json const& message) -> std::optional<milliseconds>
-{
-    auto const found = message.find("confirmed_age_ms");
-    if (found == message.end() || !found->is_number_integer() || found->get<long long>() < 0)
-        return std::nullopt;
-    return milliseconds{found->get<long long>()};
-}
+constexpr auto longest_age = 365LL * 24 * 3600 * 1000; // ms; keeps arithmetic on time points in range
 
 // Oldest confirmation: a peer that does not know its own age confirms nothing.
 auto confirmed_at(time_point asked_at, std::optional<milliseconds> age) -> time_point
@@ -31,6 +25,15 @@
 
 } // namespace
 
+auto confirmed_age_in(nlohmann::json const& message) -> std::optional<milliseconds>
+{
+    auto const found = message.find("confirmed_age_ms");
+    if (found == message.end() || !found->is_number_integer()) return std::nullopt;
+    auto const age = found->get<long long>();
+    if (age < 0 || age > longest_age) return std::nullopt;
+    return milliseconds{age};
+}
+
 auto config_service::add_methods() -> void
 {
     context_.rpc.add("config.push", [this](nlohmann::json const& params) { return accept_push(params); });
@@ -52,7 +55,7 @@
     if (!parsed) return parsed.error();
     auto const& delta = parsed.value();
     auto const now = clock::now();
-    auto const confirmed = confirmed_at(now, age_from(params));
+    auto const confirmed = confirmed_at(now, confirmed_age_in(params));
     if (state_.document() && delta.revision <= state_.revision()) {
         state_.confirm(delta.revision, confirmed);
         return nlohmann::json{{"revision", state_.revision()}};
@@ -170,7 +173,7 @@
     auto body = std::move(answer).value();
     if (!body.is_object() || !body.contains("revision") || !body["revision"].is_number_unsigned())
         co_return fail(result_code::response_malformed, "config.fetch: no revision");
-    auto const age = age_from(body);
+    auto const age = confirmed_age_in(body);
     auto const revision = body["revision"].get<std::uint64_t>();
     if (body.contains("resources") && (!state_.document() || revision > state_.revision())) {
         body["from_revision"] = 0;
@@ -185,7 +188,8 @@
         auto document = std::move(next).value();
         adopt(std::move(document), confirmed_at(asked_at, age), "fetch");
     }
-    if (revision == 0 && !state_.document() && age) adopt({}, confirmed_at(asked_at, age), "fetch");
+    if (revision == 0 && !state_.document() && age)
+        adopt(config_document{}, confirmed_at(asked_at, age), "fetch");
     if (age && state_.document() && revision == state_.revision()) {
         state_.confirm(revision, asked_at - *age);
         state_.end_pause(asked_at);
--- a/src/config/resource_parser.cpp
+++ b/src/config/resource_parser.cpp
@@ -100,8 +100,8 @@
     }
     if (type == "engine") reader.complain("routes", "is only allowed for a plain service");
     auto const& routes = spec["routes"];
-    if (!routes.is_array() || routes.empty()) {
-        reader.complain("routes", "must be a list with at least one route");
+    if (!routes.is_array()) {
+        reader.complain("routes", "must be a list");
         return service;
     }
     for (auto i = std::size_t{0}; i < routes.size(); ++i)
@@ -121,7 +121,7 @@
 auto parse_policy(std::string const& name, settings_reader& reader) -> resource
 {
     auto policy = policy_resource{};
-    if (name != "default") reader.complain("", "the only Policy is named \"default\"");
+    policy.name = name;
     policy.max_unconfirmed = milliseconds{reader.integer("max_unconfirmed_ms", 0, 0, unconfirmed_limit)};
     policy.retry_budget_ratio = reader.number("retry_budget_ratio", policy.retry_budget_ratio, 0.0, 1.0);
     policy.allow_account_header = reader.boolean("allow_account_header", false);
@@ -182,6 +182,8 @@
         errors.push_back(prefix + "kind: unknown kind \"" + parsed.kind + "\"");
     if (!parsed.name.empty() && !valid_name(parsed.name))
         errors.push_back(prefix + "name: must be 1 to 63 lower-case letters, digits, '-', '.' or '_'");
+    if (parsed.kind == "Policy" && !parsed.name.empty() && parsed.name != "default")
+        errors.push_back(prefix + "name: the only Policy is named \"default\"");
     if (!has_spec) errors.push_back(prefix + "spec: is required");
     if (errors.size() != before) return std::nullopt;
     parsed.spec = document["spec"];
--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -15,13 +15,6 @@
 constexpr auto dead_probe_share = std::size_t{8};   // one round in this many also probes a dead member, so
                                                     // that regions find each other again
 
-auto age_of(nlohmann::json const& message) -> std::optional<milliseconds>
-{
-    auto const found = message.find("confirmed_age_ms");
-    if (found == message.end() || !found->is_number_integer()) return std::nullopt;
-    return milliseconds{found->get<long long>()};
-}
-
 auto revision_of(nlohmann::json const& message) -> std::uint64_t
 {
     auto const found = message.find("config_revision");
@@ -134,7 +127,7 @@
         if (sender->name != context_.self.name) table_.probe_answered(*sender, now);
     }
     take_members(body, now);
-    config_.heard_from(peer.control, revision_of(body), age_of(body), asked_at);
+    config_.heard_from(peer.control, revision_of(body), confirmed_age_in(body), asked_at);
 }
 
 auto gossip_service::answer_exchange(nlohmann::json const& params) -> result<nlohmann::json>
@@ -147,7 +140,7 @@
     // What we hold about the sender goes back to it even when its report replaces it, so that it can refute.
     answer = message_for(sender->name);
     if (sender->name != context_.self.name) table_.probe_answered(*sender, now);
-    config_.heard_from(sender->control, revision_of(params), age_of(params), now);
+    config_.heard_from(sender->control, revision_of(params), confirmed_age_in(params), now);
     return answer;
 }
 
--- /dev/null
+++ b/tests/unit/config_service_test.cpp
@@ -0,0 +1,343 @@
+// Writes and distribution of the configuration against a store that loses answers, goes down and serves
+// racing operators.
+#include "hibiscuswall/config/push_tree.hpp"
+#include "hibiscuswall/core/sha256.hpp"
+
+#include "support/fake_store.hpp"
+#include "support/run_coroutine.hpp"
+#include "support/test_process.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+auto host_change(std::string const& name, std::string const& state, std::string write_id) -> config_change
+{
+    auto errors = std::vector<std::string>{};
+    auto parsed =
+        parse_resource({{"kind", "Host"}, {"name", name}, {"spec", {{"state", state}}}}, "", errors);
+    auto change = config_change{};
+    change.puts.push_back(*parsed);
+    change.write_id = std::move(write_id);
+    return change;
+}
+
+auto host_document(std::uint64_t revision, std::string const& state) -> config_document
+{
+    auto made = config_document{}.with(host_change("h", state, "w").puts, {}, "w" + std::to_string(revision));
+    made.revision = revision;
+    return made;
+}
+
+auto sleep_and_return(milliseconds duration) -> asio::awaitable<int>
+{
+    co_await sleep_for(duration);
+    co_return 0;
+}
+
+auto ask_status(test_process& entry) -> asio::awaitable<nlohmann::json>
+{
+    auto request = http_request{"GET", "/v1/status"};
+    auto const answer = co_await entry.client.fetch(entry.context.self.control, std::move(request));
+    co_return nlohmann::json::parse(answer.value().body);
+}
+
+} // namespace
+
+struct config_story : Utest {
+    asio::io_context io;
+    fake_store store{io};
+    std::vector<std::unique_ptr<test_process>> fleet;
+
+    static auto quick() -> config_settings
+    {
+        auto settings = config_settings{};
+        settings.retry_delay = milliseconds{20};
+        settings.watch_wait = milliseconds{200};
+        settings.peer_timeout = milliseconds{200};
+        settings.apply_timeout = milliseconds{500};
+        settings.pause_threshold = milliseconds{60'000}; // a slow machine must not look like a pause here
+        return settings;
+    }
+    auto process(std::string name, std::string domain = "gor-a", config_settings settings = quick())
+        -> test_process&
+    {
+        fleet.push_back(std::make_unique<test_process>(io, std::move(name), member_role::entry,
+                                                       std::move(domain), store.where, settings));
+        return *fleet.back();
+    }
+    auto everyone_knows_everyone() -> void
+    {
+        for (auto& one : fleet)
+            for (auto& other : fleet)
+                if (one != other) one->knows(*other);
+    }
+    auto apply(test_process& at, config_change change) -> result<std::uint64_t>
+    {
+        return run_coroutine(io, at.config.apply(std::move(change)));
+    }
+    auto push(test_process& to, config_delta const& delta) -> std::uint64_t
+    {
+        auto params = to_json(delta);
+        params["confirmed_age_ms"] = 0;
+        auto answer = run_coroutine(
+            io, rpc_call(to.client, to.context.self.control, "config.push", params, milliseconds{500}));
+        return answer.value()["revision"].get<std::uint64_t>();
+    }
+    template<class Check>
+    auto run_until(Check check, milliseconds limit) -> bool
+    {
+        auto const end = clock::now() + limit;
+        io.restart();
+        while (!check() && clock::now() < end)
+            io.run_one_for(milliseconds{5});
+        return check();
+    }
+};
+
+// ---- writing
+
+struct config_writing : config_story {
+    test_process* entry = nullptr;
+
+    void setup() override
+    {
+        entry = &process("entry-1");
+        CHECK(apply(*entry, host_change("h", "in", "first")).has_value());
+    }
+};
+
+TEST_GROUP_BASE(a_write, config_writing){};
+
+TEST(a_write, is_in_force_at_once_where_it_was_accepted)
+{
+    CHECK_EQUAL(store.entries["config/root"].revision, entry->config.current()->revision);
+    CHECK(entry->config.current()->in_service("h", "gor-a"));
+}
+
+// Guards against a guess about a write whose answer was lost.
+TEST(a_write, is_recognised_when_its_answer_is_lost)
+{
+    store.lose_answers = 1;
+    auto const written = apply(*entry, host_change("h", "out", "second"));
+    CHECK(written.has_value());
+    CHECK_EQUAL(store.entries["config/root"].revision, written.value());
+    CHECK_EQUAL(2, store.writes["config/root"]);
+    CHECK(!entry->config.current()->in_service("h", "gor-a"));
+}
+
+// Guards against a lost answer that is taken for a lost race once another write followed.
+TEST(a_write, is_recognised_when_another_one_followed_its_lost_answer)
+{
+    store.lose_answers = 1;
+    store.after_write = [&](std::string const& key) {
+        if (key != "config/root") return;
+        store.after_write = {};
+        auto root = parse_root(store.entries[key].value, store.entries[key].revision).value();
+        store.entries[key] = {root.with({}, {}, "other").root_text(), ++store.revision};
+    };
+    auto const written = apply(*entry, host_change("h", "out", "second"));
+    CHECK(written.has_value());
+    CHECK(written.value() < store.entries["config/root"].revision);
+}
+
+TEST(a_write, that_cannot_be_read_back_has_an_unknown_outcome)
+{
+    store.lose_answers = 1;
+    store.after_write = [&](std::string const& key) { store.down = key == "config/root"; };
+    auto const written = apply(*entry, host_change("h", "out", "second"));
+    CHECK(written.error().code == result_code::write_outcome_unknown);
+
+    store.down = false; // a repeat with the same id settles it and writes nothing more
+    store.after_write = {};
+    auto const again = apply(*entry, host_change("h", "out", "second"));
+    CHECK(again.has_value());
+    CHECK_EQUAL(2, store.writes["config/root"]);
+}
+
+TEST(a_write, is_refused_truthfully_while_the_store_is_down)
+{
+    store.down = true;
+    CHECK(apply(*entry, host_change("h", "out", "second")).error().code == result_code::store_unavailable);
+    CHECK_EQUAL(1, store.writes["config/root"]);
+}
+
+// Guards against an operator's write that silently undoes another's.
+TEST(a_write, that_loses_a_race_names_the_winner)
+{
+    store.before_write = [&](std::string const& key) {
+        if (key != "config/root") return;
+        store.before_write = {};
+        auto root = parse_root(store.entries[key].value, store.entries[key].revision).value();
+        store.entries[key] = {root.with({}, {}, "winner").root_text(), ++store.revision};
+    };
+    auto const lost = apply(*entry, host_change("h", "out", "loser"));
+    CHECK(lost.error().code == result_code::revision_conflict);
+    auto const expected =
+        "superseded by revision " + std::to_string(store.entries["config/root"].revision) + " (write winner)";
+    STRCMP_EQUAL(expected.c_str(), lost.error().message.c_str());
+}
+
+TEST(a_write, with_an_old_expected_revision_is_refused)
+{
+    auto change = host_change("h", "out", "second");
+    change.expect_revision = 1;
+    CHECK(apply(*entry, change).error().code == result_code::revision_conflict);
+}
+
+// Guards against collecting an object that a write in progress is about to name.
+TEST(a_write, leaves_objects_that_are_collected_after_a_grace_period)
+{
+    auto settings = quick();
+    settings.collect_grace = milliseconds{50};
+    auto collector = config_writer{entry->kv, settings};
+    CHECK(apply(*entry, host_change("h", "out", "second")).has_value());
+    CHECK_EQUAL(0U, run_coroutine(io, collector.collect()).value()); // seen unreferenced for the first time
+    run_coroutine(io, sleep_and_return(milliseconds{60}));
+    auto const unused = std::string{config_object_prefix} + sha256(host_change("h", "in", "").puts[0].text());
+    CHECK(store.entries.contains(unused));
+    store.entries[unused].revision = ++store.revision; // stored again by a write in progress
+    CHECK_EQUAL(0U, run_coroutine(io, collector.collect()).value());
+    run_coroutine(io, sleep_and_return(milliseconds{60}));
+    CHECK_EQUAL(1U, run_coroutine(io, collector.collect()).value());
+    CHECK_EQUAL(2U, store.entries.size()); // the root and the object in use
+}
+
+// ---- distribution
+
+struct config_distribution : config_story {
+    auto in_force_everywhere(std::uint64_t revision) -> bool
+    {
+        return std::all_of(fleet.begin(), fleet.end(), [&](auto const& one) {
+            return one->config.current() && one->config.current()->revision >= revision;
+        });
+    }
+};
+
+TEST_GROUP_BASE(distribution, config_distribution){};
+
+TEST(distribution, reaches_every_process_with_two_watches_a_failure_domain)
+{
+    for (auto i = 0; i < 12; ++i)
+        process("host-" + std::to_string(i), i % 2 == 0 ? "gor-a" : "sta-a");
+    everyone_knows_everyone();
+    for (auto& one : fleet)
+        one->config.start();
+    CHECK(run_until([&] { return in_force_everywhere(0); }, seconds{3}));
+    auto watching = 0.0;
+    CHECK(run_until(
+        [&] {
+            watching = 0;
+            for (auto& one : fleet)
+                watching += one->measures.value("config_watching");
+            return watching == 4;
+        },
+        seconds{3}));
+    auto const written = apply(*fleet[3], host_change("h", "out", "first"));
+    CHECK(run_until([&] { return in_force_everywhere(written.value()); }, seconds{2}));
+}
+
+// Guards against a node of the tree that does not answer cutting off the processes below it.
+TEST(distribution, goes_around_a_process_that_does_not_answer)
+{
+    for (auto i = 0; i < 30; ++i)
+        process("host-" + std::to_string(i));
+    everyone_knows_everyone();
+    auto const known = fleet[0]->table.members();
+    auto const order = push_order(fleet[0]->context.self, known, "gor-a");
+    auto const find = [&](std::string const& name) {
+        return std::find_if(fleet.begin(), fleet.end(),
+                            [&](auto& one) { return one->context.self.name == name; });
+    };
+    (*find(order[1]))->server.stop_accepting(); // parent of the second level
+    auto const at = find(order[0]);
+    auto const written = apply(**at, host_change("h", "out", "first"));
+    CHECK(run_until(
+        [&] {
+            return std::all_of(fleet.begin(), fleet.end(), [&](auto& one) {
+                return one->context.self.name == order[1] ||
+                       one->config.state().revision() >= written.value();
+            });
+        },
+        seconds{3}));
+}
+
+// Guards against an old peer that takes a restarted process back.
+TEST(distribution, gives_a_starting_process_the_newest_of_store_and_peers)
+{
+    auto& old_peer = process("old");
+    auto& new_peer = process("new");
+    push(old_peer, make_delta(config_document{}, host_document(5, "in")));
+    push(new_peer, make_delta(config_document{}, host_document(8, "out")));
+    store.down = true;
+    auto& started = process("started");
+    started.knows(old_peer);
+    started.knows(new_peer);
+    started.config.start();
+    CHECK(run_until([&] { return started.config.state().revision() == 8; }, seconds{2}));
+    CHECK(started.config.confirmed(clock::now()));
+    CHECK_EQUAL(8U, push(started, make_delta(config_document{}, host_document(5, "in"))));
+}
+
+TEST(distribution, starts_nothing_without_store_and_peers)
+{
+    store.down = true;
+    auto& alone = process("alone");
+    alone.config.start();
+    run_until([] { return false; }, milliseconds{300});
+    CHECK(alone.config.current() == nullptr);
+    CHECK(!alone.config.confirmed(clock::now()));
+    store.down = false;
+    CHECK(run_until([&] { return alone.config.confirmed(clock::now()); }, seconds{2}));
+}
+
+TEST(distribution, ignores_pushes_that_arrive_out_of_order)
+{
+    auto& one = process("one");
+    auto const first = host_document(5, "in");
+    auto const second = host_document(6, "out");
+    CHECK_EQUAL(6U, push(one, make_delta(config_document{}, second)));
+    CHECK_EQUAL(6U, push(one, make_delta(config_document{}, first)));
+    CHECK(!one.config.current()->in_service("h", "gor-a"));
+}
+
+// Guards against a delta that is applied to another document than it starts from.
+TEST(distribution, asks_for_what_is_missing_when_a_delta_has_a_gap)
+{
+    auto& one = process("one");
+    push(one, make_delta(config_document{}, host_document(5, "in")));
+    auto const sixth = host_document(6, "out");
+    CHECK_EQUAL(5U, push(one, make_delta(sixth, host_document(7, "in"))));
+    CHECK_EQUAL(7U, push(one, make_delta(host_document(5, "in"), host_document(7, "in"))));
+}
+
+TEST(distribution, is_repaired_by_an_exchange_with_a_peer)
+{
+    auto& ahead = process("ahead");
+    auto& behind = process("behind", "sta-a");
+    push(ahead, make_delta(config_document{}, host_document(8, "out")));
+    push(behind, make_delta(config_document{}, host_document(5, "in")));
+    behind.knows(ahead);
+    behind.gossip.start();
+    CHECK(run_until([&] { return behind.config.state().revision() == 8; }, seconds{4}));
+}
+
+// ---- status
+
+TEST(distribution, names_who_has_not_confirmed)
+{
+    auto& entry = process("entry-1");
+    auto& lagging = process("agent-7", "sta-a");
+    auto& gone = process("agent-8", "sta-a");
+    everyone_knows_everyone();
+    CHECK(apply(entry, host_change("h", "out", "first")).has_value());
+    CHECK(run_until([&] { return in_force_everywhere(1); }, seconds{2}));
+    gone.server.stop_accepting();
+    lagging.server.stop_accepting();
+    auto report = run_coroutine(io, ask_status(entry));
+    CHECK(!report["converged"].get<bool>());
+    STRCMP_EQUAL(R"(["sta-a"])", report["unconfirmed_failure_domains"].dump().c_str());
+    CHECK_EQUAL(2U, report["unconfirmed_hosts"].size());
+}
