--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -38,11 +38,12 @@
     {
         auto const key = percent_decode(request.path().substr(std::string_view{"/v1/kv/"}.size()));
         ++calls[request.method];
-        if (down) co_return co_await send(out, 503, {});
+        if (down) co_return co_await send_status(out, 503);
         if (request.method == "GET") {
             auto const found = entries.find(key);
-            if (found == entries.end()) co_return co_await send(out, 404, {});
-            co_return co_await send(out, 200, found->second);
+            if (found == entries.end()) co_return co_await send_status(out, 404);
+            auto const held = found->second;
+            co_return co_await send(out, 200, held);
         }
         if (before_write) before_write(key);
         auto const present = entries.contains(key) ? entries[key].revision : 0;
@@ -66,12 +67,13 @@
 
     auto list(http_request const& request, http_responder& out) -> asio::awaitable<void>
     {
-        if (down) co_return co_await send(out, 503, {});
+        if (down) co_return co_await send_status(out, 503);
         auto keys = nlohmann::json::array();
         for (auto const& [key, item] : entries)
             if (key.starts_with(request.query("prefix")))
                 keys.push_back({{"key", key}, {"revision", item.revision}});
-        co_await out.send(json_response(200, nlohmann::json{{"keys", keys}}.dump()));
+        auto const text = nlohmann::json{{"keys", keys}}.dump();
+        co_await out.send(json_response(200, text));
     }
 
     auto watch(http_request const& request, http_responder& out) -> asio::awaitable<void>
@@ -82,13 +84,19 @@
         auto const end = clock::now() + milliseconds{std::stoll(request.query("wait_ms"))};
         while (!down && clock::now() < end && (!entries.contains(key) || entries[key].revision <= after))
             co_await sleep_for(milliseconds{5});
-        if (down) co_return co_await send(out, 503, {});
-        if (!entries.contains(key) || entries[key].revision <= after) co_return co_await send(out, 204, {});
+        if (down) co_return co_await send_status(out, 503);
+        if (!entries.contains(key) || entries[key].revision <= after) co_return co_await send_status(out, 204);
         auto const found = entries[key];
         co_await send(out, 200, found);
     }
 
-    static auto send(http_responder& out, int status, entry found) -> asio::awaitable<void>
+    static auto send_status(http_responder& out, int status) -> asio::awaitable<void>
+    {
+        auto answer = http_response{status, {}, {}};
+        co_await out.send(std::move(answer));
+    }
+
+    static auto send(http_responder& out, int status, entry const& found) -> asio::awaitable<void>
     {
         auto answer = http_response{status, {}, found.value};
         answer.headers.set("X-Revision", static_cast<long long>(found.revision));
--- a/tests/unit/resource_test.cpp
+++ b/tests/unit/resource_test.cpp
@@ -60,7 +60,7 @@
              example{R"({"kind":"FailureDomain","name":"d","spec":{"state":"out"}})",
                      "resources[0].spec.region: is required"},
              example{R"({"kind":"Account","name":"a","spec":{"key":"k","weight":0}})",
-                     "resources[0].spec.weight: 0 is below 0.001"},
+                     "resources[0].spec.weight: must be between 0.001000 and 1000000.000000"},
              example{R"({"kind":"Service","name":"s","spec":{"type":"engine","cold_limit":0}})",
                      "resources[0].spec.cold_limit: 0 is below 1"},
              example{R"({"kind":"Service","name":"s","spec":{"type":"engine","cold_limit":5,"max_limit":4}})",
