Read the engine's status before a call that exceeds the cold limit

Plain services' answers are held until they are whole; answers made with another version are dropped; X-Priority is a number, as docs/platform.md has it.

--- a/src/calls/engine_watch.cpp
+++ b/src/calls/engine_watch.cpp
@@ -26,9 +26,11 @@
     auto found = co_await engine.status();
     if (found) {
         failed_reads = 0;
+        last_read = clock::now();
         if (!engine_reached) {
             engine_reached = true;
             admission.reset();
+            ++cold_turns;
             log_event(log_level::info, "engine_reached", {{"instance", found.value().instance}});
             context.events.record("engine_reached", {{"instance", found.value().instance}});
         }
@@ -43,6 +45,19 @@
     context.events.record("engine_unreachable", {{"reason", found.error().message}});
 }
 
+// Reads the status again before a call is sent when the last one is too old for the load it adds to. False
+// when the engine turned cold meanwhile and already has more than its cold limit.
+auto request_gate::state::still_warm() -> asio::awaitable<bool>
+{
+    auto self = shared_from_this();
+    auto const turns = cold_turns;
+    auto const above_cold = admission.in_flight() > static_cast<std::size_t>(admission.cold_limit());
+    auto const old = clock::now() - last_read > endpoint.status_max_age;
+    if (!endpoint.enforces_fencing || (above_cold && old)) co_await read_engine();
+    auto const over = admission.in_flight() > static_cast<std::size_t>(admission.limit());
+    co_return turns == cold_turns || !over;
+}
+
 auto request_gate::state::is_ordered(engine_status const& found) const -> bool
 {
     return ordered && found.manifest_digest == ordered->manifest_digest && found.version == ordered->version;
@@ -51,11 +66,15 @@
 auto request_gate::state::judge(engine_status const& found) -> void
 {
     auto const restarted = !instance.empty() && found.instance != instance;
-    auto const turned_cold = found.state == engine_state::cold && reported != engine_state::cold;
+    auto const turned_cold = found.state != engine_state::ready && reported == engine_state::ready;
     instance = found.instance;
     reported = found.state;
-    admission.hold(found.state == engine_state::cold);
-    if (restarted || turned_cold) admission.reset();
+    // A warming engine still fails beyond its cold limit.
+    admission.hold(found.state != engine_state::ready);
+    if (restarted || turned_cold) {
+        admission.reset();
+        ++cold_turns;
+    }
     if (!ordered || closed != result_code::ok) return;
 
     if (restarted || !is_ordered(found)) {
--- a/src/calls/forward_call.cpp
+++ b/src/calls/forward_call.cpp
@@ -18,7 +18,7 @@
 {
     auto request = http_request{call.method, call.target, {}, std::move(body)};
     request.headers.set("X-Request-Id", call.call_id);
-    request.headers.set("X-Priority", request_class_text(call.priority));
+    request.headers.set("X-Priority", static_cast<long long>(call.priority)); // higher first
     request.headers.set("X-Account", call.account);
     if (!call.content_type.empty()) request.headers.set("Content-Type", call.content_type);
     if (!call.last_event_id.empty()) request.headers.set("Last-Event-ID", call.last_event_id);
@@ -127,6 +127,25 @@
     return reason;
 }
 
+// Whether other weights came into the engine during the call; empty when not. body: of a whole answer.
+auto request_gate::state::mixed(forward_request call, std::string_view body) -> asio::awaitable<std::string>
+{
+    if (!is_engine()) co_return std::string{};
+    if (!body.empty()) {
+        auto const answer = nlohmann::json::parse(body, nullptr, false);
+        auto const named = answer.is_object() && answer.contains("weights_version");
+        if (named && answer["weights_version"] != call.version)
+            co_return "the answer was made with weights version " + answer["weights_version"].dump();
+    }
+    if (endpoint.enforces_fencing) co_return std::string{};
+    // An engine that takes any order may have loaded other weights since the call began.
+    auto const began_with = ordered;
+    co_await read_engine();
+    auto const same =
+        ordered == began_with && (closed == result_code::ok || closed == result_code::endpoint_draining);
+    co_return same ? std::string{} : std::string{"the engine's weights changed during the call"};
+}
+
 auto request_gate::state::relay(forward_request const& call, http_stream& answer, http_responder& out,
                                 time_point sent) -> asio::awaitable<call_outcome>
 {
@@ -148,7 +167,8 @@
     if (!call.version.empty()) headers.set("Hw-Weights-Version", call.version);
     headers.set("Hw-Ran", ran_text(ran::yes));
     headers.set("Hw-Code", 0LL);
-    if (answer.headers().contains("Content-Length"))
+    // A plain service's answer is held until it is whole: a cut one becomes a truthful "outcome unknown".
+    if (!is_engine() || answer.headers().contains("Content-Length"))
         co_return co_await relay_whole(call, answer, std::move(headers), out, sample);
     co_return co_await relay_stream(call, answer, std::move(headers), out, sample);
 }
@@ -161,6 +181,8 @@
         sample.outcome = run_outcome::overloaded;
         co_return outcome_of_failure(call, body.error(), sample);
     }
+    if (auto const reason = co_await mixed(call, body.value()); !reason.empty())
+        co_return outcome_of_failure(call, fail(result_code::response_malformed, reason), sample);
     auto const type = std::string{answer.headers().find("Content-Type")};
     if (!call.idempotent) registry.answered(call.call_id, kept_answer{answer.status(), type, body.value()});
     auto response = http_response{answer.status(), std::move(headers), std::move(body).value()};
@@ -193,6 +215,10 @@
             co_return call_outcome{result_code::cancelled, ran::unknown, "the entry closed", sample, true};
         }
     }
+    if (auto const reason = co_await mixed(call, {}); !reason.empty()) {
+        out.abort();
+        co_return call_outcome{result_code::response_malformed, ran::unknown, reason, sample, true};
+    }
     if (!call.idempotent) registry.answered(call.call_id, std::nullopt);
     co_await out.finish();
     co_return call_outcome{result_code::ok, ran::yes, {}, sample, true};
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -68,8 +68,6 @@
         co_return;
     }
     auto const& call = read.value();
-    // An engine that takes any order may have been given other weights since the last poll.
-    if (is_engine() && !endpoint.enforces_fencing && closed == result_code::ok) co_await read_engine();
     auto code = refusal(call);
     if (code == result_code::ok && !call.idempotent) {
         code = registry.begin(call.call_id, clock::now());
@@ -99,7 +97,9 @@
 {
     auto slot = running_slot{*this, id};
     // The configuration or the engine may have changed while the request waited.
+    auto const warm = !is_engine() || co_await still_warm();
     auto code = refusal(call);
+    if (code == result_code::ok && !warm) code = result_code::endpoint_cold;
     if (out.disconnected()) code = result_code::cancelled;
     if (code != result_code::ok) {
         registry.not_run(call.call_id);
