--- a/include/hibiscuswall/lifecycle/endpoint_settings.hpp
+++ b/include/hibiscuswall/lifecycle/endpoint_settings.hpp
@@ -13,8 +13,8 @@
     address where;                            // "address" of the engine or plain service
     std::string service;                      // "service": name of its Service resource
     service_type type = service_type::engine; // "type": "engine" or "plain"
-    bool enforces_fencing = true;             // "enforces_fencing": the engine refuses orders with an old
-                                              // number; without it the status is read before each request
+    bool enforces_fencing = true;          // "fencing": "enforced" when the engine refuses orders with an old
+                                           // number; without it the status is read before each request
     milliseconds status_max_age{20};       // "status_max_age_ms": oldest status on which a call is sent while
                                            // more than the cold limit runs
     milliseconds poll_interval{200};       // "poll_interval_ms": between two reads of the engine's status
--- a/src/lifecycle/endpoint_settings.cpp
+++ b/src/lifecycle/endpoint_settings.cpp
@@ -9,7 +9,7 @@
     settings.service = reader.text("service");
     settings.type = reader.choice("type", "engine", {"engine", "plain"}) == "engine" ? service_type::engine
                                                                                      : service_type::plain;
-    settings.enforces_fencing = reader.boolean("enforces_fencing", settings.enforces_fencing);
+    settings.enforces_fencing = reader.choice("fencing", "enforced", {"enforced", "ignored"}) == "enforced";
     settings.status_max_age = reader.duration("status_max_age_ms", settings.status_max_age);
     settings.poll_interval = reader.duration("poll_interval_ms", settings.poll_interval);
     settings.status_timeout = reader.duration("status_timeout_ms", settings.status_timeout);
--- /dev/null
+++ b/tests/integration/request_gate_test.cpp
@@ -0,0 +1,353 @@
+// The request gate between an entry and an endpoint, over real connections: what it refuses before anything
+// ran, what it relays, and what it says when an answer is lost.
+#include "hibiscuswall/calls/request_gate.hpp"
+#include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/http/http_server.hpp"
+
+#include "support/free_port.hpp"
+#include "support/run_coroutine.hpp"
+
+#include <optional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+class fixed_config final : public config_source {
+public:
+    [[nodiscard]] auto current() const -> config_view_ptr override { return view; }
+    [[nodiscard]] auto confirmed(time_point /*now*/) const -> bool override { return is_confirmed; }
+    auto subscribe(std::function<void(config_view const&)> callback) -> void override
+    {
+        changed = std::move(callback);
+    }
+
+    auto set_in_service(bool in_service) -> void
+    {
+        auto next = std::make_shared<config_view>(*view);
+        next->revision += 1;
+        next->failure_domains["gor-a"] = {"gor-a", "gorenjska", in_service};
+        view = next;
+        changed(*next);
+    }
+
+    std::shared_ptr<config_view const> view;
+    bool is_confirmed = true;
+    std::function<void(config_view const&)> changed;
+};
+
+constexpr auto own_incarnation = std::uint64_t{1'000};
+
+} // namespace
+
+TEST_GROUP(gate)
+{
+    asio::io_context io;
+    timeline events{"agent-1", 100};
+    metrics measures;
+    random_source random{1};
+    http_client client{io, nullptr};
+    rpc_dispatcher rpc;
+    http_router routes;
+    member self;
+    std::optional<process_context> context;
+    fixed_config config;
+    std::unique_ptr<request_gate> gate;
+    std::unique_ptr<http_server> server;
+    address where = free_address();
+
+    // ---- endpoint behind the gate
+    http_router endpoint_routes;
+    std::unique_ptr<http_server> endpoint;
+    address endpoint_where = free_address();
+    std::string instance = "one";
+    std::string digest = "digest-1";
+    std::string engine_text_state = "ready";
+    std::string answered_version = "v1";
+    int runs = 0;
+    int cancels = 0;
+    int changes = 0;
+    bool cut = false;
+    milliseconds service_time{0};
+
+    auto start(service_type type, int cold_limit = 4)->void
+    {
+        auto view = std::make_shared<config_view>();
+        view->revision = 1;
+        auto service = service_resource{};
+        service.cold_limit = cold_limit;
+        service.max_limit = 8;
+        service.queue_limit = 4;
+        view->services["s"] = service;
+        config.view = view;
+
+        self.name = "agent-1";
+        self.failure_domain = "gor-a";
+        self.incarnation = own_incarnation;
+        context.emplace(process_context{io, self, client, rpc, routes, events, measures, random});
+        auto settings = endpoint_settings{};
+        settings.where = endpoint_where;
+        settings.service = "s";
+        settings.type = type;
+        settings.poll_interval = milliseconds{10};
+        start_endpoint();
+        gate = std::make_unique<request_gate>(*context, config, settings, admission_settings{});
+        gate->on_engine_changed([this](engine_change const& /*what*/) { ++changes; });
+        rpc.serve(routes);
+        server = std::make_unique<http_server>(io, routes, nullptr, http_server_limits{});
+        CHECK(server->listen(where).has_value());
+        gate->start();
+        if (type == service_type::engine) gate->serve({"m", "", "v1", "digest-1"});
+    }
+
+    auto start_endpoint()->void
+    {
+        endpoint_routes.add("GET", "/v1/status",
+                            [this](http_request const&, http_responder& out) -> asio::awaitable<void> {
+                                auto const body = nlohmann::json{{"instance", instance},
+                                                                 {"state", engine_text_state},
+                                                                 {"version", "v1"},
+                                                                 {"manifest_digest", digest}};
+                                co_await out.send(json_response(200, body.dump()));
+                            });
+        endpoint_routes.add("POST", "/v1/cancel/",
+                            [this](http_request const&, http_responder& out) -> asio::awaitable<void> {
+                                ++cancels;
+                                co_await out.send({200, {}, "{}"});
+                            });
+        endpoint_routes.add(
+            "POST", "/v1/run",
+            [this](http_request const& request, http_responder& out) -> asio::awaitable<void> {
+                ++runs;
+                auto const id = std::string{request.headers.find("X-Request-Id")};
+                co_await sleep_for(service_time);
+                if (cut) {
+                    co_await out.start(200, {});
+                    co_await out.write("half");
+                    out.abort();
+                    co_return;
+                }
+                auto const body = nlohmann::json{{"weights_version", answered_version}, {"request_id", id}};
+                co_await out.send(json_response(200, body.dump()));
+            });
+        endpoint_routes.add("POST", "/v1/foreign",
+                            [](http_request const&, http_responder& out) -> asio::awaitable<void> {
+                                auto answer = http_response{200, {}, "of somebody else"};
+                                answer.headers.set("X-Request-Id", "another-call");
+                                co_await out.send(std::move(answer));
+                            });
+        endpoint_routes.add("POST", "/v1/stream",
+                            [](http_request const&, http_responder& out) -> asio::awaitable<void> {
+                                co_await out.start(200, {});
+                                for (auto i = 0; i < 500; ++i) {
+                                    if (!co_await out.write("piece ")) co_return;
+                                    co_await sleep_for(milliseconds{5});
+                                }
+                                co_await out.finish();
+                            });
+        endpoint = std::make_unique<http_server>(io, endpoint_routes, nullptr, http_server_limits{});
+        CHECK(endpoint->listen(endpoint_where).has_value());
+    }
+
+    auto request(std::string const& call_id, bool idempotent, std::string const& target = "/v1/run")
+        ->http_request
+    {
+        auto made = http_request{"POST", "/forward", {}, "{}"};
+        made.headers.set("Hw-Call-Id", call_id);
+        made.headers.set("Hw-Account", "office");
+        made.headers.set("Hw-Class", "booking");
+        made.headers.set("Hw-Deadline-Ms", 2'000LL);
+        made.headers.set("Hw-Method", "POST");
+        made.headers.set("Hw-Target", target);
+        made.headers.set("Hw-Idempotent", idempotent ? 1LL : 0LL);
+        if (!idempotent) made.headers.set("Hw-Agent-Incarnation", static_cast<long long>(own_incarnation));
+        return made;
+    }
+
+    auto send(http_request made)->http_response
+    {
+        auto answer = run_coroutine(io, client.fetch(where, std::move(made)));
+        CHECK(answer.has_value());
+        return std::move(answer).value();
+    }
+
+    auto run_for(milliseconds time)->void
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
+    auto check_not_run(http_response const& answer, result_code code)->void
+    {
+        LONGS_EQUAL(static_cast<int>(code), answer.headers.number("Hw-Code", -1));
+        STRCMP_EQUAL("no", std::string{answer.headers.find("Hw-Ran")}.c_str());
+        LONGS_EQUAL(0, runs);
+    }
+
+    auto resolve(std::string const& call_id, std::uint64_t incarnation = own_incarnation)->std::string
+    {
+        auto params = nlohmann::json{{"call_id", call_id}, {"incarnation", incarnation}};
+        auto answer = run_coroutine(io, rpc_call(client, where, "call.resolve", params, seconds{1}));
+        CHECK(answer.has_value());
+        return answer.value().value("state", "");
+    }
+
+    auto teardown()->void override
+    {
+        endpoint.reset();
+        server.reset();
+        gate.reset();
+    }
+};
+
+TEST(gate, relays_a_whole_answer_with_the_state_of_the_endpoint)
+{
+    start(service_type::engine);
+    auto const answer = send(request("a", true));
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL("a", std::string{answer.headers.find("Hw-Call-Id")}.c_str());
+    STRCMP_EQUAL("yes", std::string{answer.headers.find("Hw-Ran")}.c_str());
+    STRCMP_EQUAL("v1", std::string{answer.headers.find("Hw-Weights-Version")}.c_str());
+    LONGS_EQUAL(4, answer.headers.number("Hw-Limit", 0));
+}
+
+// Guards against "not run" for something that ran, and against running what must be refused.
+TEST(gate, refuses_before_anything_runs)
+{
+    start(service_type::engine);
+    config.is_confirmed = false;
+    check_not_run(send(request("a", true)), result_code::configuration_unconfirmed);
+    config.is_confirmed = true;
+    config.set_in_service(false);
+    check_not_run(send(request("a", true)), result_code::failure_domain_out);
+    config.set_in_service(true);
+
+    auto stale = request("b", false);
+    stale.headers.set("Hw-Agent-Incarnation", static_cast<long long>(own_incarnation - 1));
+    check_not_run(send(stale), result_code::agent_restarted);
+    auto pinned = request("c", true);
+    pinned.headers.set("Hw-Weights-Version", "v0");
+    check_not_run(send(pinned), result_code::version_mismatch);
+    auto late = request("d", true);
+    late.headers.set("Hw-Deadline-Ms", 0LL);
+    check_not_run(send(late), result_code::deadline_exceeded);
+
+    gate->begin_leaving();
+    check_not_run(send(request("e", true)), result_code::endpoint_draining);
+}
+
+// Guards against answers from weights that nobody ordered.
+TEST(gate, closes_when_the_engine_loses_its_weights)
+{
+    start(service_type::engine);
+    LONGS_EQUAL(200, send(request("a", true)).status);
+    runs = 0;
+    digest = "other";
+    run_for(milliseconds{60});
+    LONGS_EQUAL(1, changes);
+    CHECK_FALSE(gate->serving().has_value());
+    check_not_run(send(request("b", true)), result_code::endpoint_cold);
+    digest = "digest-1";
+    gate->serve({"m", "", "v1", "digest-1"});
+    LONGS_EQUAL(200, send(request("c", true)).status);
+}
+
+TEST(gate, closes_when_the_engine_restarted_with_the_same_weights)
+{
+    start(service_type::engine);
+    run_for(milliseconds{40});
+    instance = "two";
+    run_for(milliseconds{60});
+    LONGS_EQUAL(1, changes);
+    check_not_run(send(request("b", true)), result_code::endpoint_cold);
+}
+
+TEST(gate, drops_answers_of_another_request_or_version)
+{
+    start(service_type::engine);
+    auto answer = send(request("a", true, "/v1/foreign"));
+    LONGS_EQUAL(static_cast<int>(result_code::response_malformed), answer.headers.number("Hw-Code", 0));
+    STRCMP_EQUAL("unknown", std::string{answer.headers.find("Hw-Ran")}.c_str());
+    answered_version = "v0";
+    answer = send(request("b", true));
+    LONGS_EQUAL(static_cast<int>(result_code::response_malformed), answer.headers.number("Hw-Code", 0));
+}
+
+// Guards against a booking whose answer was cut being reported as not run, or run again.
+TEST(gate, a_cut_answer_of_a_plain_service_is_outcome_unknown)
+{
+    start(service_type::plain);
+    cut = true;
+    auto const answer = send(request("a", false));
+    LONGS_EQUAL(static_cast<int>(result_code::outcome_unknown), answer.headers.number("Hw-Code", 0));
+    STRCMP_EQUAL("unknown", std::string{answer.headers.find("Hw-Ran")}.c_str());
+    cut = false;
+    send(request("a", false));
+    LONGS_EQUAL(1, runs);
+    STRCMP_EQUAL("other_incarnation", resolve("a").c_str());
+}
+
+TEST(gate, a_repeated_call_id_gets_the_first_answer)
+{
+    start(service_type::plain);
+    auto const first = send(request("a", false));
+    auto const second = send(request("a", false));
+    STRCMP_EQUAL(first.body.c_str(), second.body.c_str());
+    LONGS_EQUAL(1, runs);
+    STRCMP_EQUAL("answered", resolve("a").c_str());
+    STRCMP_EQUAL("other_incarnation", resolve("a", own_incarnation - 1).c_str());
+}
+
+// Guards against the first request arriving after its repeat was allowed to run.
+TEST(gate, a_revoked_call_that_arrives_late_is_refused)
+{
+    start(service_type::plain);
+    STRCMP_EQUAL("revoked", resolve("late").c_str());
+    check_not_run(send(request("late", false)), result_code::call_revoked);
+}
+
+// Guards against "not run" being withheld when nothing could have run.
+TEST(gate, no_connection_to_the_service_is_not_run)
+{
+    start(service_type::plain);
+    endpoint.reset();
+    check_not_run(send(request("a", false)), result_code::connect_failed);
+}
+
+// Guards against an engine that goes on generating for a caller who left.
+TEST(gate, cancels_at_the_engine_when_the_entry_closes)
+{
+    start(service_type::engine);
+    auto opened = run_coroutine(io, client.open(where, request("a", true, "/v1/stream")));
+    CHECK(opened.has_value());
+    LONGS_EQUAL(1, static_cast<long>(gate->in_flight()));
+    opened.value().reset();
+    run_for(milliseconds{100});
+    LONGS_EQUAL(1, cancels);
+    LONGS_EQUAL(0, static_cast<long>(gate->in_flight()));
+}
+
+// Guards against a planned stop or a drain that cuts what runs.
+TEST(gate, what_runs_is_finished_while_new_work_is_refused)
+{
+    start(service_type::plain);
+    service_time = milliseconds{100};
+    auto first = std::optional<http_response>{};
+    auto const store = [&]() -> asio::awaitable<void> {
+        auto answer = co_await client.fetch(where, request("a", false));
+        if (answer) first = std::move(answer).value();
+    };
+    asio::co_spawn(io, store(), asio::detached);
+    run_for(milliseconds{30});
+    config.set_in_service(false);
+    gate->begin_leaving();
+    auto const second = send(request("b", false));
+    STRCMP_EQUAL("no", std::string{second.headers.find("Hw-Ran")}.c_str());
+    run_for(milliseconds{200});
+    CHECK(first.has_value());
+    LONGS_EQUAL(200, first->status);
+    LONGS_EQUAL(1, runs);
+    LONGS_EQUAL(0, static_cast<long>(gate->in_flight()));
+}
