--- a/tests/integration/request_gate_test.cpp
+++ b/tests/integration/request_gate_test.cpp
@@ -312,6 +312,7 @@
 TEST(gate, no_connection_to_the_service_is_not_run)
 {
     start(service_type::plain);
+    run_for(milliseconds{10}); // the server's accept loop holds its state only once it has begun
     endpoint.reset();
     check_not_run(send(request("a", false)), result_code::connect_failed);
 }
