--- a/src/calls/call_claim.cpp
+++ b/src/calls/call_claim.cpp
@@ -1,4 +1,7 @@
 // Claims of a call with an idempotency key, and lost answers of non-idempotent calls.
+// GCC 12 inlines the frame's operator new but not its operator delete and then takes them for mismatched.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 #include "call_run.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -1,4 +1,7 @@
 // Sending an attempt to its agent and relaying the answer.
+// GCC 12 inlines the frame's operator new but not its operator delete and then takes them for mismatched.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 #include "call_run.hpp"
 
 #include "hibiscuswall/observe/log.hpp"
