--- a/src/calls/claim_store.cpp
+++ b/src/calls/claim_store.cpp
@@ -1,3 +1,6 @@
+// GCC 12 inlines the frame's operator new but not its operator delete and then takes them for mismatched.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 #include "hibiscuswall/calls/claim_store.hpp"
 
 #include "hibiscuswall/core/sha256.hpp"
