--- a/include/hibiscuswall/calls/claim_bucket.hpp
+++ b/include/hibiscuswall/calls/claim_bucket.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Claims of non-idempotent calls, as one JSON value of the key-value service: {key: claim}. A bucket holds the
-// claims of all accounts and idempotency keys with the same hash.
+// Claims of non-idempotent calls, as one JSON value of the key-value service: {key: claim}. A bucket holds
+// the claims of all accounts and idempotency keys with the same hash.
 //
 //   auto bucket = claim_bucket::parse(entry.value);        // none: damaged; never overwrite it
 //   bucket->drop_expired(now_ms, lifetime);
@@ -35,8 +35,8 @@
     std::string where;             // "ip:port" of that agent
     std::uint64_t incarnation = 0; // of that agent
     claim_state state = claim_state::sent;
-    long long at_ms = 0;  // wall clock when the claim was written
-    std::string request;  // SHA-256 of method, target and body
+    long long at_ms = 0; // wall clock when the claim was written
+    std::string request; // SHA-256 of method, target and body
     std::optional<claim_answer> answer;
 };
 
--- a/include/hibiscuswall/calls/claim_store.hpp
+++ b/include/hibiscuswall/calls/claim_store.hpp
@@ -18,11 +18,11 @@
 namespace hibiscuswall {
 
 struct claim_settings {
-    milliseconds lifetime{24 * 3'600'000};    // "lifetime_ms": a key is remembered for this long
-    std::size_t answer_bytes = 4'096;         // "answer_bytes": largest answer that is kept
-    std::size_t bucket_bytes = 900 * 1'024;   // "bucket_bytes": below the store's 1 MB
-    int attempts = 8;                         // "attempts": swaps tried before giving up
-    milliseconds pause{5};                    // "pause_ms": mean wait after a lost race, grows with each
+    milliseconds lifetime{24 * 3'600'000};  // "lifetime_ms": a key is remembered for this long
+    std::size_t answer_bytes = 4'096;       // "answer_bytes": largest answer that is kept
+    std::size_t bucket_bytes = 900 * 1'024; // "bucket_bytes": below the store's 1 MB
+    int attempts = 8;                       // "attempts": swaps tried before giving up
+    milliseconds pause{5};                  // "pause_ms": mean wait after a lost race, grows with each
 };
 
 [[nodiscard]] auto read_claim_settings(settings_reader reader) -> claim_settings;
--- a/src/calls/claim_bucket.cpp
+++ b/src/calls/claim_bucket.cpp
@@ -14,8 +14,12 @@
 
 auto to_json(claim const& value) -> json
 {
-    auto object = json{{"call_id", value.call_id},         {"host", value.host},   {"where", value.where},
-                       {"incarnation", value.incarnation}, {"at_ms", value.at_ms}, {"request", value.request},
+    auto object = json{{"call_id", value.call_id},
+                       {"host", value.host},
+                       {"where", value.where},
+                       {"incarnation", value.incarnation},
+                       {"at_ms", value.at_ms},
+                       {"request", value.request},
                        {"state", state_names[static_cast<int>(value.state)]}};
     if (value.answer)
         object["answer"] = {{"status", value.answer->status},
@@ -36,9 +40,8 @@
     auto const name = object.at("state").get<std::string>();
     auto const* found = std::find(std::begin(state_names), std::end(state_names), name);
     // A state of a later version of the program reads as the one that never runs again.
-    value.state = found == std::end(state_names)
-                      ? claim_state::unknown
-                      : static_cast<claim_state>(found - std::begin(state_names));
+    value.state = found == std::end(state_names) ? claim_state::unknown
+                                                 : static_cast<claim_state>(found - std::begin(state_names));
     if (object.contains("answer")) {
         auto const& kept = object.at("answer");
         value.answer = claim_answer{kept.at("status").get<int>(), kept.at("content_type").get<std::string>(),
@@ -80,8 +83,7 @@
 
 auto claim_bucket::drop_expired(long long now_ms, milliseconds lifetime) -> void
 {
-    std::erase_if(claims_,
-                  [&](auto const& entry) { return now_ms - entry.second.at_ms > lifetime.count(); });
+    std::erase_if(claims_, [&](auto const& entry) { return now_ms - entry.second.at_ms > lifetime.count(); });
 }
 
 auto claim_bucket::fit(std::size_t limit) -> bool
--- a/src/calls/claim_store.cpp
+++ b/src/calls/claim_store.cpp
@@ -57,7 +57,7 @@
     if (!bucket.fit(settings_.bucket_bytes))
         co_return fail(result_code::claim_unavailable, bucket_key + " is full");
     auto written = co_await store_.put(bucket_key, bucket.text(), revision);
-    auto const* label = written                                                         ? "written"
+    auto const* label = written                                                      ? "written"
                         : written.error().code == result_code::revision_conflict     ? "conflict"
                         : written.error().code == result_code::write_outcome_unknown ? "answer_lost"
                                                                                      : "unavailable";
@@ -68,8 +68,8 @@
 auto claim_store::wait(int attempt) -> asio::awaitable<void>
 {
     auto const longest = 2 * settings_.pause.count() * (attempt + 1);
-    co_await sleep_for(milliseconds{static_cast<long long>(
-        random_.below(static_cast<std::size_t>(longest) + 1))});
+    co_await sleep_for(
+        milliseconds{static_cast<long long>(random_.below(static_cast<std::size_t>(longest) + 1))});
 }
 
 auto claim_store::take(std::string key, claim mine, std::string replaces) -> asio::awaitable<result<claim>>
--- a/src/lifecycle/call_machine.cpp
+++ b/src/lifecycle/call_machine.cpp
@@ -41,18 +41,15 @@
 
     using initial_state = accepted;
 
-    struct transition_table : boost::mpl::vector<
-                                  Row<accepted, claim_stored, claimed, none, none>,
-                                  Row<accepted, attempt_sent, sent, none, none>,
-                                  Row<claimed, attempt_sent, sent, none, none>,
-                                  Row<claimed, attempt_not_run, accepted, none, none>,
-                                  Row<sent, attempt_not_run, accepted, none, none>,
-                                  Row<sent, answer_whole, answered, none, none>,
-                                  Row<sent, answer_lost, unknown, none, none>,
-                                  Row<unknown, answer_whole, answered, none, none>,
-                                  Row<unknown, attempt_not_run, accepted, none, none>,
-                                  Row<unknown, attempt_sent, sent, none, may_run_twice>> {
-    };
+    struct transition_table
+        : boost::mpl::vector<
+              Row<accepted, claim_stored, claimed, none, none>, Row<accepted, attempt_sent, sent, none, none>,
+              Row<claimed, attempt_sent, sent, none, none>,
+              Row<claimed, attempt_not_run, accepted, none, none>,
+              Row<sent, attempt_not_run, accepted, none, none>, Row<sent, answer_whole, answered, none, none>,
+              Row<sent, answer_lost, unknown, none, none>, Row<unknown, answer_whole, answered, none, none>,
+              Row<unknown, attempt_not_run, accepted, none, none>,
+              Row<unknown, attempt_sent, sent, none, may_run_twice>> {};
 
     template<class Event, class Machine>
     auto no_transition(Event const& /*event*/, Machine& /*machine*/, int /*phase*/) -> void
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -1,4 +1,5 @@
-// GCC 12 takes the allocation and release of Asio's coroutine frames for a mismatched pair once both are inlined.
+// GCC 12 takes the allocation and release of Asio's coroutine frames for a mismatched pair once both are
+// inlined.
 #pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 #include "hibiscuswall/weights/activation.hpp"
--- a/src/weights/chunk_server.cpp
+++ b/src/weights/chunk_server.cpp
@@ -120,7 +120,8 @@
     while (connected && !rest.empty()) {
         auto const piece = rest.substr(0, piece_bytes);
         co_await upload_.bulk(piece.size());
-        connected = !out.disconnected() && co_await out.write(piece);
+        connected = !out.disconnected();
+        if (connected) connected = co_await out.write(piece);
         rest.remove_prefix(piece.size());
     }
     if (connected) co_await out.finish();
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -153,8 +153,12 @@
 auto transfer::fetch(chunk_fetch what) -> asio::awaitable<void>
 {
     auto const self = shared_from_this();
-    auto got =
-        what.from_source() ? co_await from_source(what.chunk) : co_await from_peer(what.chunk, what.peer);
+    // No conditional expression around co_await: GCC 12 destroys its temporaries twice.
+    auto got = fetched{fetch_failure::absent};
+    if (what.from_source())
+        got = co_await from_source(what.chunk);
+    else
+        got = co_await from_peer(what.chunk, what.peer);
     plan_.ended(what);
     wake();
     if (auto const* why = std::get_if<fetch_failure>(&got)) {
@@ -164,8 +168,8 @@
     auto const bytes = std::get<chunk_bytes>(got);
     auto const& entry = version_->chunks[what.chunk];
     auto parts = std::vector<chunk_bytes>{bytes};
-    auto const whole = bytes->size() == entry.size;
-    auto const good = whole && co_await parts_.digests.matches(std::move(parts), entry.sha256);
+    auto good = bytes->size() == entry.size;
+    if (good) good = co_await parts_.digests.matches(std::move(parts), entry.sha256);
     if (!good) {
         note_failure(what, fetch_failure::corrupt);
         wake();
@@ -247,7 +251,8 @@
 auto transfer::verify_whole() -> asio::awaitable<bool>
 {
     auto parts = parts_.store.whole(*version_);
-    co_return !parts.empty() && co_await parts_.digests.matches(std::move(parts), version_->sha256);
+    if (parts.empty()) co_return false;
+    co_return co_await parts_.digests.matches(std::move(parts), version_->sha256);
 }
 
 } // namespace hibiscuswall
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -1,4 +1,5 @@
-// GCC 12 takes the allocation and release of Asio's coroutine frames for a mismatched pair once both are inlined.
+// GCC 12 takes the allocation and release of Asio's coroutine frames for a mismatched pair once both are
+// inlined.
 #pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 #include "hibiscuswall/weights/weights_service.hpp"
@@ -80,8 +81,10 @@
     if (version == nullptr || !wanted(generation)) co_return;
     auto const weights = served_weights{target.model, target.adapter, target.version, version->digest};
     co_await adopt_loaded(weights);
-    if (!co_await stage(generation, id) || !wanted(generation)) co_return;
-    if (!co_await activate(generation, target, weights) || !wanted(generation)) co_return;
+    auto const staged = co_await stage(generation, id);
+    if (!staged || !wanted(generation)) co_return;
+    auto const active = co_await activate(generation, target, weights);
+    if (!active || !wanted(generation)) co_return;
     co_await watch_engine(generation, weights);
 }
 
