Test the chunk plan, store, rollout rule and version machine

Guards against dead and stalled owners, corrupt senders, duplicate draws (96 names draw 256 chunks once each), a version changed mid-transfer, a version that is too large and a failed load.

--- /dev/null
+++ b/tests/unit/weights_plan_test.cpp
@@ -0,0 +1,164 @@
+// Chunk plan with made-up times: who draws, who follows, who is avoided.
+#include "hibiscuswall/core/sha256.hpp"
+#include "hibiscuswall/weights/chunk_plan.hpp"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+auto make_chunks(std::size_t count) -> std::vector<chunk_entry>
+{
+    auto list = std::vector<chunk_entry>{};
+    for (auto i = std::size_t{0}; i < count; ++i)
+        list.push_back({sha256("chunk " + std::to_string(i)), 1000});
+    return list;
+}
+
+auto make_names(std::size_t count) -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{};
+    for (auto i = std::size_t{0}; i < count; ++i)
+        names.push_back("host-" + std::to_string(i));
+    return names;
+}
+
+} // namespace
+
+TEST_GROUP(chunk_plan)
+{
+    time_point now{seconds{100}};
+    chunk_plan_settings settings;
+    random_source random{7};
+    std::vector<chunk_entry> chunks = make_chunks(1);
+    std::vector<std::string> names = make_names(4);
+
+    auto plan_of(std::string const& self)->chunk_plan
+    {
+        auto plan = chunk_plan{chunks, self, settings, now};
+        plan.set_hosts(names, now);
+        return plan;
+    }
+
+    // The name at this position of the first chunk's rank order.
+    auto ranked(std::size_t position)->std::string
+    {
+        for (auto const& name : names)
+            if (plan_of(name).rank(0) == position) return name;
+        return {};
+    }
+};
+
+// Guards against an origin that is asked for more than one copy, or for less.
+TEST(chunk_plan, of_96_hosts_exactly_one_draws_each_chunk)
+{
+    names = make_names(96);
+    chunks = make_chunks(256);
+    auto drawn = std::multiset<std::size_t>{};
+    for (auto const& name : names) {
+        auto plan = plan_of(name);
+        while (auto fetch = plan.next(now, random)) {
+            CHECK(fetch->from_source());
+            drawn.insert(fetch->chunk);
+            plan.ended(*fetch);
+            plan.held(fetch->chunk);
+        }
+    }
+    CHECK_EQUAL(chunks.size(), drawn.size());
+    CHECK_EQUAL(chunks.size(), (std::set<std::size_t>{drawn.begin(), drawn.end()}.size()));
+}
+
+// Guards against a chunk that nobody draws because its owner died.
+TEST(chunk_plan, the_first_follower_takes_over_from_a_dead_owner_and_the_second_does_not)
+{
+    auto first = plan_of(ranked(1));
+    auto second = plan_of(ranked(2));
+    CHECK(!first.next(now, random).has_value());
+    first.peer_unreachable(ranked(0), now);
+    second.peer_unreachable(ranked(0), now);
+    CHECK(first.next(now, random)->from_source());
+    CHECK(!second.next(now, random).has_value());
+}
+
+// Guards against an owner whose link stalls: it is alive, but gets nothing.
+TEST(chunk_plan, a_follower_takes_over_when_the_owner_makes_no_progress)
+{
+    auto follower = plan_of(ranked(1));
+    auto const owner = ranked(0);
+    follower.peer_has(owner, {false}, now);
+    now += settings.progress_deadline;
+    follower.peer_has(owner, {false}, now);
+    CHECK(!follower.next(now, random).has_value());
+    now += milliseconds{1};
+    follower.peer_has(owner, {false}, now);
+    CHECK(follower.next(now, random)->from_source());
+}
+
+// Guards against a duplicate draw by a host that has not heard from the owner for its own reasons.
+TEST(chunk_plan, silence_alone_does_not_make_an_owner_late)
+{
+    auto follower = plan_of(ranked(1));
+    now += 10 * settings.progress_deadline;
+    CHECK(!follower.next(now, random).has_value());
+}
+
+// Guards against a restarted host that draws what its region holds already.
+TEST(chunk_plan, an_owner_that_restarted_with_nothing_asks_a_peer_that_holds_the_chunk)
+{
+    auto owner = plan_of(ranked(0));
+    owner.peer_has(ranked(3), {true}, now);
+    auto const fetch = owner.next(now, random);
+    STRCMP_EQUAL(ranked(3).c_str(), fetch->peer.c_str());
+}
+
+// Guards against fetching a second time from the sender of a bad chunk.
+TEST(chunk_plan, the_sender_of_a_corrupt_or_stalled_chunk_is_avoided_for_a_while)
+{
+    for (auto const why : {fetch_failure::corrupt, fetch_failure::stalled}) {
+        auto plan = plan_of(ranked(3));
+        plan.peer_has(ranked(0), {true}, now);
+        plan.peer_has(ranked(1), {true}, now);
+        auto const fetch = plan.next(now, random);
+        plan.ended(*fetch);
+        plan.failed(*fetch, why, now);
+        auto const again = plan.next(now, random);
+        CHECK(again.has_value() && again->peer != fetch->peer);
+        plan.ended(*again);
+        plan.failed(*again, why, now);
+        CHECK(!plan.next(now, random).has_value());
+        CHECK(plan.next(now + settings.avoid_time, random).has_value());
+    }
+}
+
+TEST(chunk_plan, a_busy_peer_is_asked_again_after_a_pause)
+{
+    auto plan = plan_of(ranked(3));
+    plan.peer_has(ranked(0), {true}, now);
+    auto const fetch = plan.next(now, random);
+    plan.ended(*fetch);
+    plan.failed(*fetch, fetch_failure::busy, now);
+    CHECK(!plan.next(now, random).has_value());
+    CHECK(plan.next(now + settings.busy_pause, random).has_value());
+}
+
+// Guards against a source that is asked although it said to wait.
+TEST(chunk_plan, a_limited_source_is_left_alone_until_its_time)
+{
+    auto plan = plan_of(ranked(0));
+    plan.pause_source(now + seconds{1});
+    CHECK(!plan.next(now, random).has_value());
+    CHECK(plan.next(now + seconds{1}, random).has_value());
+}
+
+TEST(chunk_plan, the_rarest_chunk_comes_first)
+{
+    chunks = make_chunks(3);
+    auto plan = plan_of("host-0");
+    plan.pause_source(now + seconds{9});
+    plan.peer_has("host-1", {true, true, true}, now);
+    plan.peer_has("host-2", {true, false, true}, now);
+    CHECK_EQUAL(1U, plan.next(now, random)->chunk);
+}
--- /dev/null
+++ b/tests/unit/weights_test.cpp
@@ -0,0 +1,211 @@
+// Manifest, chunk store, link budget, rollout rule and version machine.
+#include "hibiscuswall/core/rendezvous.hpp"
+#include "hibiscuswall/core/sha256.hpp"
+#include "hibiscuswall/lifecycle/version_machine.hpp"
+#include "hibiscuswall/weights/chunk_bitmap.hpp"
+#include "hibiscuswall/weights/chunk_store.hpp"
+#include "hibiscuswall/weights/link_budget.hpp"
+#include "hibiscuswall/weights/rollout.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+auto manifest_json(std::string const& version, std::vector<std::string> const& contents) -> nlohmann::json
+{
+    auto whole = std::string{};
+    auto list = nlohmann::json::array();
+    for (auto const& bytes : contents) {
+        whole += bytes;
+        list.push_back({{"sha256", sha256(bytes)}, {"size", bytes.size()}});
+    }
+    return {{"model", "m"},
+            {"version", version},
+            {"size", whole.size()},
+            {"sha256", sha256(whole)},
+            {"chunks", list}};
+}
+
+auto make_version(std::string const& version, std::vector<std::string> const& contents) -> manifest_ptr
+{
+    return std::make_shared<manifest const>(parse_manifest(manifest_json(version, contents).dump()).value());
+}
+
+} // namespace
+
+TEST_GROUP(weights_manifest){};
+
+TEST(weights_manifest, its_digest_is_that_of_its_text)
+{
+    auto const text = manifest_json("v1", {"aa", "b"}).dump();
+    auto const parsed = parse_manifest(text);
+    CHECK(parsed.has_value());
+    STRCMP_EQUAL(sha256(text).c_str(), parsed.value().digest.c_str());
+    CHECK_EQUAL(2U, parsed.value().chunks.size());
+}
+
+// Guards against a damaged manifest that is taken for a smaller or different version.
+TEST(weights_manifest, anything_malformed_is_refused)
+{
+    auto const good = manifest_json("v1", {"aa", "b"});
+    auto refused = [](nlohmann::json const& body) {
+        auto const parsed = parse_manifest(body.dump());
+        return !parsed && parsed.error().code == result_code::manifest_invalid;
+    };
+    auto body = good;
+    body["size"] = 4;
+    CHECK(refused(body));
+    body = good;
+    body["extra"] = 1;
+    CHECK(refused(body));
+    body = good;
+    body["chunks"][1]["sha256"] = "AB";
+    CHECK(refused(body));
+    body = good;
+    body["chunks"][1]["size"] = -1;
+    CHECK(refused(body));
+    body = good;
+    body["chunks"] = nlohmann::json::array();
+    CHECK(refused(body));
+    CHECK(!parse_manifest("{").has_value());
+}
+
+TEST_GROUP(weights_store)
+{
+    chunk_store store{10};
+
+    auto add(std::string const& bytes)->void
+    {
+        store.add(sha256(bytes), std::make_shared<std::string const>(bytes));
+    }
+};
+
+// Guards against fetching again what an earlier version brought.
+TEST(weights_store, a_version_changed_mid_transfer_keeps_the_chunks_it_shares)
+{
+    auto const first = make_version("v1", {"aaaa", "bb"});
+    auto const second = make_version("v2", {"aaaa", "cc"});
+    CHECK(store.reserve(first).has_value());
+    add("aaaa");
+    add("bb");
+    CHECK(store.reserve(second).has_value());
+    store.release(first->id());
+    CHECK(store.held(*second) == (std::vector<bool>{true, false}));
+    CHECK(store.find(sha256("bb")) == nullptr);
+    CHECK_EQUAL(6U, store.reserved_bytes());
+    CHECK(store.whole(*second).empty());
+}
+
+// Guards against memory that grows beyond its limit.
+TEST(weights_store, a_version_that_does_not_fit_is_refused_and_changes_nothing)
+{
+    CHECK(store.reserve(make_version("v1", {"aaaa", "bb"})).has_value());
+    auto const refused = store.reserve(make_version("v2", {"ccccc"}));
+    CHECK(!refused && refused.error().code == result_code::weights_too_large);
+    CHECK_EQUAL(6U, store.reserved_bytes());
+    add("ccccc");
+    CHECK(store.find(sha256("ccccc")) == nullptr);
+}
+
+TEST(weights_store, a_bitmap_survives_the_wire)
+{
+    auto const chunks = std::vector<bool>{true, false, false, false, true, true};
+    STRCMP_EQUAL("8c", chunks_to_hex(chunks).c_str());
+    CHECK(chunks_from_hex("8c", 6) == chunks);
+    CHECK(chunks_from_hex("x", 6) == std::vector<bool>(6));
+}
+
+TEST_GROUP(weights_link) { time_point now{seconds{5}}; };
+
+// Guards against weights that take the link from live requests.
+TEST(weights_link, live_bytes_go_at_once_and_weights_wait_for_them)
+{
+    auto bucket = token_bucket{1000, 100, now};
+    bucket.take(100, now);
+    CHECK(bucket.wait(now) == clock::duration::zero());
+    bucket.take(500, now);
+    CHECK(bucket.wait(now) == milliseconds{500});
+    CHECK(bucket.wait(now + milliseconds{500}) == clock::duration::zero());
+}
+
+TEST_GROUP(weights_rollout)
+{
+    std::string first = "a";
+    std::string second = "b";
+
+    void setup() override
+    {
+        if (rendezvous_weight("m/v", first) < rendezvous_weight("m/v", second)) std::swap(first, second);
+    }
+    auto one(std::string const& name, version_state state, bool known = true)->std::vector<rollout_peer>
+    {
+        auto peer = rollout_peer{};
+        peer.name = name;
+        peer.known = known;
+        peer.state = state;
+        return {peer};
+    }
+};
+
+// Guards against two hosts of a failure domain that are down for a load at a time.
+TEST(weights_rollout, the_later_host_waits_and_steps_back)
+{
+    using state = version_state;
+    CHECK(decide_rollout("m/v", first, one(second, state::verified), 1) == rollout_decision::proceed);
+    CHECK(decide_rollout("m/v", second, one(first, state::verified), 1) == rollout_decision::wait);
+    CHECK(decide_rollout("m/v", first, one(second, state::loading), 1) == rollout_decision::wait);
+    CHECK(keeps_slot("m/v", first, one(second, state::loading), 1));
+    CHECK(!keeps_slot("m/v", second, one(first, state::loading), 1));
+    CHECK(decide_rollout("m/v", second, one(first, state::loading), 2) == rollout_decision::proceed);
+}
+
+// Guards against a rollout that waits for a host that is not ready to load, or ignores one it cannot see.
+TEST(weights_rollout, a_host_still_transferring_does_not_hold_the_slot_but_a_silent_one_does)
+{
+    using state = version_state;
+    CHECK(decide_rollout("m/v", second, one(first, state::transferring), 1) == rollout_decision::proceed);
+    CHECK(decide_rollout("m/v", second, one(first, state::active), 1) == rollout_decision::proceed);
+    CHECK(decide_rollout("m/v", second, one(first, state::declared, false), 1) == rollout_decision::wait);
+}
+
+// Guards against a bad version that takes one host after another out of service.
+TEST(weights_rollout, a_failed_load_stops_it)
+{
+    auto peers = one(second, version_state::failed);
+    peers.front().load_failed = true;
+    CHECK(decide_rollout("m/v", first, peers, 4) == rollout_decision::stop);
+}
+
+TEST_GROUP(weights_version) { version_machine machine; };
+
+TEST(weights_version, goes_from_declared_to_active_and_back_when_the_engine_turns_cold)
+{
+    using event = version_event;
+    CHECK(machine.state() == version_state::declared);
+    CHECK(machine.on(event::transfer_begun));
+    CHECK(machine.on(event::whole_verified));
+    CHECK(machine.on(event::load_begun));
+    CHECK(machine.on(event::load_put_off));
+    CHECK(machine.on(event::load_begun));
+    CHECK(machine.on(event::load_confirmed));
+    CHECK(machine.state() == version_state::active);
+    CHECK(machine.on(event::engine_lost));
+    CHECK(machine.state() == version_state::verified);
+}
+
+// Guards against an engine that is ordered to load weights that are not whole.
+TEST(weights_version, cannot_load_before_the_whole_is_verified)
+{
+    CHECK(!machine.on(version_event::load_begun));
+    CHECK(machine.on(version_event::transfer_begun));
+    CHECK(!machine.on(version_event::load_begun));
+    CHECK(machine.on(version_event::gave_up));
+    CHECK(machine.state() == version_state::failed);
+    CHECK(!machine.on(version_event::load_begun));
+    CHECK(machine.on(version_event::retried));
+    CHECK(machine.state() == version_state::declared);
+}
--- a/tools/measures/weights.py
+++ b/tools/measures/weights.py
@@ -130,7 +130,7 @@
         return False
 
     def declare(self, version):
-        body = {"model": "m", "version": version, "failure_domains": ["gor-a"], "batch": self.count}
+        body = {"model": "m", "version": version, "failure_domains": ["gor-a"], "batch": max(1, self.count // 8)}
         with concurrent.futures.ThreadPoolExecutor(16) as pool:
             list(pool.map(lambda h: request(h["listen"], "POST", "/declare", body), self.hosts))
 
