--- a/src/calls/call_answer.cpp
+++ b/src/calls/call_answer.cpp
@@ -33,16 +33,24 @@
 
 } // namespace
 
+auto call_run::note_result(std::string_view result) const -> void
+{
+    services_->context.measures.count("calls_total", {{"result", result}});
+}
+
 auto call_run::deliver(int status, http_headers headers, std::string body) -> asio::awaitable<void>
 {
     if (!call_.idempotency_key.empty()) {
-        auto kept = claim_answer{status, std::string{headers.find("Content-Type")}, body};
+        auto kept = claim_answer{};
+        kept.status = status;
+        kept.content_type = std::string{headers.find("Content-Type")};
+        kept.body = body;
         end_claim(claim_id_, claim_state::answered, std::move(kept));
     }
     headers.set("X-Call-Id", call_.id);
     auto response = http_response{status, std::move(headers), std::move(body)};
     co_await out_.send(std::move(response));
-    services_->context.measures.count("calls_total", {{"result", "answered"}});
+    note_result("answered");
 }
 
 auto call_run::replay(claim_answer answer, std::string call_id) -> asio::awaitable<void>
@@ -52,7 +60,7 @@
     headers.set("X-Call-Id", call_id);
     headers.set("X-Replayed", "yes");
     auto response = http_response{answer.status, std::move(headers), std::move(answer.body)};
-    services_->context.measures.count("calls_total", {{"result", "replayed"}});
+    note_result("replayed");
     co_await out_.send(std::move(response));
 }
 
@@ -63,11 +71,8 @@
     return refuse_as(std::move(problem), outcome);
 }
 
-auto call_run::refuse_as(error problem, ran outcome) -> asio::awaitable<void>
+auto call_run::note_refusal(error const& problem, ran outcome) const -> void
 {
-    if (!call_.idempotent && outcome == ran::unknown && problem.code != result_code::call_in_progress)
-        problem.code = result_code::outcome_unknown;
-    problem.code = fitting_code(problem.code, outcome);
     auto const& info = describe(problem.code);
     services_->context.measures.count("calls_total", {{"result", info.name}, {"ran", ran_text(outcome)}});
     services_->context.events.record(
@@ -79,9 +84,18 @@
                {"ran", std::string{ran_text(outcome)}},
                {"attempts", std::to_string(attempts_)},
                {"message", problem.message}});
+}
+
+auto call_run::refuse_as(error problem, ran outcome) -> asio::awaitable<void>
+{
+    if (!call_.idempotent && outcome == ran::unknown && problem.code != result_code::call_in_progress)
+        problem.code = result_code::outcome_unknown;
+    problem.code = fitting_code(problem.code, outcome);
+    note_refusal(problem, outcome);
+    auto const& info = describe(problem.code);
     auto body = error_text(problem, outcome, call_.id);
     if (streaming_) {
-        auto const event = "event: error\ndata: " + body + "\n\n";
+        auto event = "event: error\ndata: " + body + "\n\n";
         if (co_await out_.write(event)) co_await out_.finish();
         co_return;
     }
--- a/src/calls/call_claim.cpp
+++ b/src/calls/call_claim.cpp
@@ -138,11 +138,18 @@
     else
         told.kind = reply::unknown;
     if (told.kind == reply::answered && body.contains("answer")) told.answer = read_kept(body["answer"]);
-    context.measures.count("calls_resolved_total", {{"state", text}});
-    context.events.record("call_resolved", {{"call_id", call_id}, {"host", host}, {"state", text}});
+    note_resolved(host, call_id, text);
     co_return told;
 }
 
+auto call_run::note_resolved(std::string const& host, std::string const& call_id,
+                             std::string const& state) const -> void
+{
+    auto& context = services_->context;
+    context.measures.count("calls_resolved_total", {{"state", state}});
+    context.events.record("call_resolved", {{"call_id", call_id}, {"host", host}, {"state", state}});
+}
+
 // Asks the agent what became of a call whose answer was lost. It either runs the call to its end or has
 // revoked it, so that both "ran" and "not run" are certain; without a reply the outcome stays unknown.
 auto call_run::settle_lost(call_attempt attempt) -> asio::awaitable<attempt_end>
@@ -154,7 +161,7 @@
         auto told = co_await resolve(attempt.host.name, attempt.host.control.text(), attempt.id,
                                      attempt.incarnation, age);
         if (told.kind == reply::not_run) {
-            last_ = fail(result_code::agent_restarted, "the call did not reach " + attempt.host.name);
+            last_ = fail(result_code::connect_failed, "the call did not reach " + attempt.host.name);
             co_return attempt_end::not_run;
         }
         if (told.kind == reply::answered) {
--- a/src/calls/call_handler.cpp
+++ b/src/calls/call_handler.cpp
@@ -31,6 +31,24 @@
     return names[static_cast<int>(priority)];
 }
 
+// ---- plain functions: GCC 12 destroys the temporaries of a braced list inside a coroutine twice
+
+auto note_early(process_context& context, error const& problem) -> void
+{
+    context.measures.count("calls_total", {{"result", describe(problem.code).name}, {"ran", "no"}});
+}
+
+auto note_time(process_context& context, request_class priority, time_point started) -> void
+{
+    auto const took = std::chrono::duration<double>(clock::now() - started).count();
+    context.measures.observe("call_seconds", {{"class", class_name(priority)}}, took);
+}
+
+auto note_unfinished(std::string const& call_id, error const& problem) -> void
+{
+    log_event(log_level::warning, "claim_not_finished", {{"call_id", call_id}, {"reason", problem.message}});
+}
+
 } // namespace
 
 auto call_handler::state::handle(http_request const& request, http_responder& out) -> asio::awaitable<void>
@@ -40,14 +58,14 @@
     auto const id = context.random.id();
     auto view = config.current();
     if (view == nullptr) {
-        auto refusal = early_refusal(
-            fail(result_code::configuration_missing, "this entry has no configuration yet"), id);
+        auto missing = fail(result_code::configuration_missing, "this entry has no configuration yet");
+        auto refusal = early_refusal(missing, id);
         co_await out.send(std::move(refusal));
         co_return;
     }
     auto read = read_caller_call(request, *view, settings, started);
     if (!read) {
-        context.measures.count("calls_total", {{"result", describe(read.error().code).name}, {"ran", "no"}});
+        note_early(context, read.error());
         auto refusal = early_refusal(read.error(), id);
         co_await out.send(std::move(refusal));
         co_return;
@@ -65,8 +83,7 @@
         throw;
     }
     --in_flight;
-    auto const took = std::chrono::duration<double>(clock::now() - started).count();
-    context.measures.observe("call_seconds", {{"class", class_name(priority)}}, took);
+    note_time(context, priority, started);
 }
 
 auto call_handler::state::finish_claim(std::string key, std::string call_id, claim_state end,
@@ -76,9 +93,7 @@
     ++in_flight; // a graceful stop waits for it
     auto stored = co_await claims.finish(std::move(key), call_id, end, std::move(answer));
     --in_flight;
-    if (!stored)
-        log_event(log_level::warning, "claim_not_finished",
-                  {{"call_id", call_id}, {"reason", stored.error().message}});
+    if (!stored) note_unfinished(call_id, stored.error());
 }
 
 call_handler::call_handler(process_context& context, config_source& config, member_source& members,
--- a/src/calls/call_run.cpp
+++ b/src/calls/call_run.cpp
@@ -23,14 +23,17 @@
     while (!watch_->gone) {
         auto const now = clock::now();
         if (now >= call_.deadline) {
-            auto const late = fail(result_code::deadline_exceeded, "the deadline passed");
-            co_return co_await refuse(late);
+            auto late = fail(result_code::deadline_exceeded, "the deadline passed");
+            co_await refuse(std::move(late));
+            co_return;
         }
         auto view = services_->config.current();
         if (view == nullptr || !services_->config.confirmed(now)) {
             auto const code =
                 view == nullptr ? result_code::configuration_missing : result_code::configuration_unconfirmed;
-            co_return co_await refuse(fail(code, std::string{describe(code).meaning}));
+            auto missing = fail(code, std::string{describe(code).meaning});
+            co_await refuse(std::move(missing));
+            co_return;
         }
         auto const attempt = next_attempt(*view, now);
         if (!attempt) {
@@ -39,8 +42,9 @@
         }
         if (!call_.idempotency_key.empty() && !co_await take_claim(*attempt)) co_return;
         if (!machine_.process(call_event::sent)) {
-            co_return co_await refuse_as(
-                fail(result_code::outcome_unknown, "an earlier attempt may have run"), ran::unknown);
+            auto unknown = fail(result_code::outcome_unknown, "an earlier attempt may have run");
+            co_await refuse_as(std::move(unknown), ran::unknown);
+            co_return;
         }
         auto const end = co_await send(*attempt, view);
         if (!co_await after(end, *attempt)) co_return;
@@ -72,9 +76,8 @@
     auto const tried_all = !call_.query.excluded.empty();
     // Every endpoint refused for overload: to ask again at once would only add to it.
     if (now >= *waits_until_ || (tried_all && costs_retry_budget(last_.code))) {
-        auto const problem =
-            tried_all ? last_ : fail(result_code::no_endpoint, "no endpoint can take the call now");
-        co_await refuse(problem);
+        if (!tried_all) last_ = fail(result_code::no_endpoint, "no endpoint can take the call now");
+        co_await refuse(last_);
         co_return false;
     }
     call_.query.excluded.clear();
@@ -91,6 +94,18 @@
     return !costs_retry_budget(last_.code) || services_->budget.take();
 }
 
+auto call_run::note_failed(call_attempt const& attempt, attempt_end end) const -> void
+{
+    auto const name = describe(last_.code).name;
+    services_->context.measures.count("attempts_failed_total", {{"code", name}});
+    log_event(log_level::info, "attempt_failed",
+              {{"call_id", attempt.id},
+               {"host", attempt.host.name},
+               {"code", std::string{name}},
+               {"ran", end == attempt_end::not_run ? "no" : "unknown"},
+               {"message", last_.message}});
+}
+
 // Whether another attempt follows; else the caller has its answer.
 auto call_run::after(attempt_end end, call_attempt attempt) -> asio::awaitable<bool>
 {
@@ -100,13 +115,7 @@
     }
     if (end == attempt_end::done) co_return false;
     if (end == attempt_end::not_run) machine_.process(call_event::not_run);
-    services_->context.measures.count("attempts_failed_total", {{"code", describe(last_.code).name}});
-    log_event(log_level::info, "attempt_failed",
-              {{"call_id", attempt.id},
-               {"host", attempt.host.name},
-               {"code", std::string{describe(last_.code).name}},
-               {"ran", end == attempt_end::not_run ? "no" : "unknown"},
-               {"message", last_.message}});
+    note_failed(attempt, end);
     if (!may_retry(end)) {
         co_await refuse(last_);
         co_return false;
--- a/src/calls/call_run.hpp
+++ b/src/calls/call_run.hpp
@@ -3,6 +3,9 @@
 //
 //   auto run = call_run{services, call, out};
 //   co_await run.run();                         // the caller has its answer, or is gone
+//
+// Logs and events are written by plain functions: GCC 12 destroys the temporaries of a braced list inside a
+// coroutine twice.
 
 #include "call_services.hpp"
 #include "caller_watch.hpp"
@@ -40,6 +43,7 @@
     // ---- attempts (call_run.cpp)
     auto next_attempt(config_view const& view, time_point now) -> std::optional<call_attempt>;
     auto wait_for_endpoint(time_point now) -> asio::awaitable<bool>;
+    auto note_failed(call_attempt const& attempt, attempt_end end) const -> void;
     auto may_retry(attempt_end end) -> bool;
     auto after(attempt_end end, call_attempt attempt) -> asio::awaitable<bool>;
 
@@ -52,6 +56,8 @@
     auto relay_events(call_attempt attempt, std::unique_ptr<http_stream> answer)
         -> asio::awaitable<attempt_end>;
     auto relay_event(stream_event event) -> asio::awaitable<attempt_end>;
+    auto note_forwarded(call_attempt const& attempt) const -> void;
+    auto note_foreign(call_attempt const& attempt, http_headers const& headers) const -> void;
     auto stream_cut(call_attempt const& attempt, error problem) -> attempt_end;
     [[nodiscard]] auto attempt_options(time_point now) const -> http_call_options;
 
@@ -60,6 +66,8 @@
     auto look_at(claim held) -> asio::awaitable<bool>;
     auto resolve(std::string host, std::string where, std::string call_id, std::uint64_t incarnation,
                  milliseconds age) -> asio::awaitable<resolution>;
+    auto note_resolved(std::string const& host, std::string const& call_id, std::string const& state) const
+        -> void;
     auto settle_lost(call_attempt attempt) -> asio::awaitable<attempt_end>;
     auto end_claim(std::string call_id, claim_state end, std::optional<claim_answer> answer) -> void;
 
@@ -67,6 +75,8 @@
     auto deliver(int status, http_headers headers, std::string body) -> asio::awaitable<void>;
     auto replay(claim_answer answer, std::string call_id) -> asio::awaitable<void>;
     auto refuse(error problem) -> asio::awaitable<void>;
+    auto note_result(std::string_view result) const -> void;
+    auto note_refusal(error const& problem, ran outcome) const -> void;
     auto refuse_as(error problem, ran outcome) -> asio::awaitable<void>;
 
     std::shared_ptr<call_services> services_;
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -57,13 +57,28 @@
     return options;
 }
 
+auto call_run::note_forwarded(call_attempt const& attempt) const -> void
+{
+    services_->context.events.record("call_forwarded",
+                                     {{"call_id", attempt.id}, {"host", attempt.host.name}});
+}
+
+auto call_run::note_foreign(call_attempt const& attempt, http_headers const& headers) const -> void
+{
+    services_->context.measures.count("answers_dropped_total");
+    log_event(log_level::error, "answer_dropped",
+              {{"call_id", attempt.id},
+               {"answer_id", std::string{headers.find("Hw-Call-Id")}},
+               {"host", attempt.host.name}});
+}
+
 auto call_run::send(call_attempt attempt, config_view_ptr view) -> asio::awaitable<attempt_end>
 {
     auto& services = *services_;
     auto const now = clock::now();
     auto request = make_forward(call_, attempt, *view, now);
     services.router.on_sent(attempt.host.name, now);
-    services.context.events.record("call_forwarded", {{"call_id", attempt.id}, {"host", attempt.host.name}});
+    note_forwarded(attempt);
     auto const options = attempt_options(now);
     auto opened = co_await open_watched(services.context.client, attempt.host.control, std::move(request),
                                         options, watch_);
@@ -79,11 +94,7 @@
     auto answer = std::move(opened).value();
     auto const told = read_forward_answer(answer->headers(), attempt.id);
     if (told.foreign) {
-        services.context.measures.count("answers_dropped_total");
-        log_event(log_level::error, "answer_dropped",
-                  {{"call_id", attempt.id},
-                   {"answer_id", std::string{answer->headers().find("Hw-Call-Id")}},
-                   {"host", attempt.host.name}});
+        note_foreign(attempt, answer->headers());
         services.router.on_failure(attempt.host.name, clock::now());
         last_ = fail(result_code::response_malformed, "the answer belongs to another call");
         co_return attempt_end::lost;
@@ -182,7 +193,8 @@
         if (!piece.value()) break;
         if (clock::now() >= call_.deadline)
             co_return stream_cut(attempt, fail(result_code::deadline_exceeded, "the deadline passed"));
-        for (auto& event : parser.feed(*piece.value())) {
+        auto events = parser.feed(*piece.value());
+        for (auto& event : events) {
             auto const is_last = event.type == "done";
             auto const end = co_await relay_event(std::move(event));
             if (end != attempt_end::done) co_return stream_cut(attempt, last_);
@@ -191,7 +203,7 @@
             services_->router.on_finished(attempt.host.name);
             machine_.process(call_event::answered);
             co_await out_.finish();
-            services_->context.measures.count("calls_total", {{"result", "streamed"}});
+            note_result("streamed");
             co_return attempt_end::done;
         }
     }
