Test the call handler against played agents and store; fix cancelled and resumed calls

A call whose caller left ends with an explicit answer: http_server crashes in its own fallback answer for a handler that gives none.

--- a/src/calls/call_answer.cpp
+++ b/src/calls/call_answer.cpp
@@ -64,6 +64,18 @@
     co_await out_.send(std::move(response));
 }
 
+// The caller is gone. An answer is given all the same: the server takes a handler without one for a fault.
+auto call_run::close_cancelled() -> asio::awaitable<void>
+{
+    note_result("cancelled");
+    if (streaming_) {
+        out_.abort();
+        co_return;
+    }
+    auto cancelled = json_response(describe(result_code::cancelled).http_status, "{}");
+    co_await out_.send(std::move(cancelled));
+}
+
 auto call_run::refuse(error problem) -> asio::awaitable<void>
 {
     auto const outcome = machine_.outcome();
--- a/src/calls/call_run.cpp
+++ b/src/calls/call_run.cpp
@@ -47,8 +47,9 @@
             co_return;
         }
         auto const end = co_await send(*attempt, view);
-        if (!co_await after(end, *attempt)) co_return;
+        if (!watch_->gone && !co_await after(end, *attempt)) co_return;
     }
+    co_await close_cancelled();
 }
 
 auto call_run::next_attempt(config_view const& view, time_point now) -> std::optional<call_attempt>
--- a/src/calls/call_run.hpp
+++ b/src/calls/call_run.hpp
@@ -28,6 +28,11 @@
         not_run, // refused, or no byte left; last_ says why
         lost,    // may have run; last_ says what was seen
     };
+    enum class event_use {
+        relay,
+        skip,   // the caller has it already
+        broken, // the stream cannot go on from here; last_ says why
+    };
     enum class reply {
         not_run, // never seen, and refused should it still arrive
         running,
@@ -55,7 +60,7 @@
         -> asio::awaitable<attempt_end>;
     auto relay_events(call_attempt attempt, std::unique_ptr<http_stream> answer)
         -> asio::awaitable<attempt_end>;
-    auto relay_event(stream_event event) -> asio::awaitable<attempt_end>;
+    auto judge_event(stream_event const& event) -> event_use;
     auto note_forwarded(call_attempt const& attempt) const -> void;
     auto note_foreign(call_attempt const& attempt, http_headers const& headers) const -> void;
     auto stream_cut(call_attempt const& attempt, error problem) -> attempt_end;
@@ -74,6 +79,7 @@
     // ---- answers to the caller (call_answer.cpp)
     auto deliver(int status, http_headers headers, std::string body) -> asio::awaitable<void>;
     auto replay(claim_answer answer, std::string call_id) -> asio::awaitable<void>;
+    auto close_cancelled() -> asio::awaitable<void>;
     auto refuse(error problem) -> asio::awaitable<void>;
     auto note_result(std::string_view result) const -> void;
     auto note_refusal(error const& problem, ran outcome) const -> void;
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -195,10 +195,16 @@
             co_return stream_cut(attempt, fail(result_code::deadline_exceeded, "the deadline passed"));
         auto events = parser.feed(*piece.value());
         for (auto& event : events) {
-            auto const is_last = event.type == "done";
-            auto const end = co_await relay_event(std::move(event));
-            if (end != attempt_end::done) co_return stream_cut(attempt, last_);
-            if (!is_last) continue;
+            auto const use = judge_event(event);
+            if (use == event_use::broken) co_return stream_cut(attempt, last_);
+            if (use == event_use::skip) continue;
+            auto const written = co_await out_.write(event.text);
+            if (!written) {
+                watch_->gone = true;
+                co_return stream_cut(attempt, last_);
+            }
+            if (event.id) last_event_ = *event.id;
+            if (event.type != "done") continue;
             watch_->open = nullptr;
             services_->router.on_finished(attempt.host.name);
             machine_.process(call_event::answered);
@@ -210,26 +216,17 @@
     co_return stream_cut(attempt, fail(result_code::answer_cut, "the stream ended without its last event"));
 }
 
-// done: the event was relayed or is a repetition; lost: the stream cannot go on from here.
-auto call_run::relay_event(stream_event event) -> asio::awaitable<attempt_end>
+auto call_run::judge_event(stream_event const& event) -> event_use
 {
     if (event.type == "error") {
         last_ = fail(result_code::stream_interrupted, "the endpoint ended the stream with an error");
-        co_return attempt_end::lost;
-    }
-    if (event.id) {
-        if (last_event_ >= 0 && *event.id <= last_event_) co_return attempt_end::done;
-        if (last_event_ >= 0 && *event.id != last_event_ + 1) {
-            last_ = fail(result_code::stream_interrupted, "events are missing from the stream");
-            co_return attempt_end::lost;
-        }
+        return event_use::broken;
     }
-    if (!co_await out_.write(event.text)) {
-        watch_->gone = true;
-        co_return attempt_end::lost;
-    }
-    if (event.id) last_event_ = *event.id;
-    co_return attempt_end::done;
+    if (!event.id || last_event_ < 0) return event_use::relay;
+    if (*event.id <= last_event_) return event_use::skip;
+    if (*event.id == last_event_ + 1) return event_use::relay;
+    last_ = fail(result_code::stream_interrupted, "events are missing from the stream");
+    return event_use::broken;
 }
 
 } // namespace hibiscuswall
--- a/tests/integration/call_handler_test.cpp
+++ b/tests/integration/call_handler_test.cpp
@@ -144,6 +144,8 @@
             out.on_disconnect([this] { saw_disconnect = true; });
             while (!out.disconnected())
                 co_await sleep_for(milliseconds{1});
+            auto late = http_response{503, {}, {}};
+            co_await out.send(std::move(late));
             co_return;
         }
         auto const cut = act == behaviour::cut_before_run || act == behaviour::cut_after_run;
