--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -57,13 +57,28 @@
     return options;
 }
 
+auto call_run::note_forwarded(call_attempt const& attempt) const -> void
+{
+    services_->context.events.record("call_forwarded",
+                                     {{"call_id", attempt.id}, {"host", attempt.host.name}});
+}
+
+auto call_run::note_foreign(call_attempt const& attempt, http_headers const& headers) const -> void
+{
+    services_->context.measures.count("answers_dropped_total");
+    log_event(log_level::error, "answer_dropped",
+              {{"call_id", attempt.id},
+               {"answer_id", std::string{headers.find("Hw-Call-Id")}},
+               {"host", attempt.host.name}});
+}
+
 auto call_run::send(call_attempt attempt, config_view_ptr view) -> asio::awaitable<attempt_end>
 {
     auto& services = *services_;
     auto const now = clock::now();
     auto request = make_forward(call_, attempt, *view, now);
     services.router.on_sent(attempt.host.name, now);
-    services.context.events.record("call_forwarded", {{"call_id", attempt.id}, {"host", attempt.host.name}});
+    note_forwarded(attempt);
     auto const options = attempt_options(now);
     auto opened = co_await open_watched(services.context.client, attempt.host.control, std::move(request),
                                         options, watch_);
@@ -79,11 +94,7 @@
     auto answer = std::move(opened).value();
     auto const told = read_forward_answer(answer->headers(), attempt.id);
     if (told.foreign) {
-        services.context.measures.count("answers_dropped_total");
-        log_event(log_level::error, "answer_dropped",
-                  {{"call_id", attempt.id},
-                   {"answer_id", std::string{answer->headers().find("Hw-Call-Id")}},
-                   {"host", attempt.host.name}});
+        note_foreign(attempt, answer->headers());
         services.router.on_failure(attempt.host.name, clock::now());
         last_ = fail(result_code::response_malformed, "the answer belongs to another call");
         co_return attempt_end::lost;
@@ -182,42 +193,40 @@
         if (!piece.value()) break;
         if (clock::now() >= call_.deadline)
             co_return stream_cut(attempt, fail(result_code::deadline_exceeded, "the deadline passed"));
-        for (auto& event : parser.feed(*piece.value())) {
-            auto const is_last = event.type == "done";
-            auto const end = co_await relay_event(std::move(event));
-            if (end != attempt_end::done) co_return stream_cut(attempt, last_);
-            if (!is_last) continue;
+        auto events = parser.feed(*piece.value());
+        for (auto& event : events) {
+            auto const use = judge_event(event);
+            if (use == event_use::broken) co_return stream_cut(attempt, last_);
+            if (use == event_use::skip) continue;
+            auto const written = co_await out_.write(event.text);
+            if (!written) {
+                watch_->gone = true;
+                co_return stream_cut(attempt, last_);
+            }
+            if (event.id) last_event_ = *event.id;
+            if (event.type != "done") continue;
             watch_->open = nullptr;
             services_->router.on_finished(attempt.host.name);
             machine_.process(call_event::answered);
             co_await out_.finish();
-            services_->context.measures.count("calls_total", {{"result", "streamed"}});
+            note_result("streamed");
             co_return attempt_end::done;
         }
     }
     co_return stream_cut(attempt, fail(result_code::answer_cut, "the stream ended without its last event"));
 }
 
-// done: the event was relayed or is a repetition; lost: the stream cannot go on from here.
-auto call_run::relay_event(stream_event event) -> asio::awaitable<attempt_end>
+auto call_run::judge_event(stream_event const& event) -> event_use
 {
     if (event.type == "error") {
         last_ = fail(result_code::stream_interrupted, "the endpoint ended the stream with an error");
-        co_return attempt_end::lost;
-    }
-    if (event.id) {
-        if (last_event_ >= 0 && *event.id <= last_event_) co_return attempt_end::done;
-        if (last_event_ >= 0 && *event.id != last_event_ + 1) {
-            last_ = fail(result_code::stream_interrupted, "events are missing from the stream");
-            co_return attempt_end::lost;
-        }
+        return event_use::broken;
     }
-    if (!co_await out_.write(event.text)) {
-        watch_->gone = true;
-        co_return attempt_end::lost;
-    }
-    if (event.id) last_event_ = *event.id;
-    co_return attempt_end::done;
+    if (!event.id || last_event_ < 0) return event_use::relay;
+    if (*event.id <= last_event_) return event_use::skip;
+    if (*event.id == last_event_ + 1) return event_use::relay;
+    last_ = fail(result_code::stream_interrupted, "events are missing from the stream");
+    return event_use::broken;
 }
 
 } // namespace hibiscuswall
