--- a/include/hibiscuswall/lifecycle/endpoint_control.hpp
+++ b/include/hibiscuswall/lifecycle/endpoint_control.hpp
@@ -42,7 +42,7 @@
     // Refuses new work with this code until serve() is called.
     virtual auto close(result_code reason) -> void = 0;
 
-    // What is being served; none while closed or draining.
+    // What is being served; none while closed or draining. Beside an open plain service: empty fields.
     [[nodiscard]] virtual auto serving() const -> std::optional<served_weights> = 0;
 };
 
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -437,7 +437,8 @@
 auto request_gate::serving() const -> std::optional<served_weights>
 {
     auto const open = state_->closed == result_code::ok && !state_->leaving;
-    return open ? state_->ordered : std::nullopt;
+    if (!open) return std::nullopt;
+    return state_->is_engine() ? state_->ordered : std::optional{served_weights{}};
 }
 
 } // namespace hibiscuswall
