--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -126,9 +126,12 @@
                              same->second);
         for (auto const& domain : serving.failure_domains) {
             auto const [first, added] = places.emplace(serving.service + "\x1f" + domain, name);
-            if (!added)
-                errors.push_back("ModelServing/" + name + ".spec.failure_domains: " + domain +
-                                 " serves ModelServing/" + first->second + " on the same service");
+            if (!added) {
+                auto line = "ModelServing/" + name + ".spec.failure_domains: ";
+                line += domain;
+                line += " serves ModelServing/" + first->second + " on the same service";
+                errors.push_back(std::move(line));
+            }
         }
     }
     return errors;
--- a/src/config/config_peers.cpp
+++ b/src/config/config_peers.cpp
@@ -134,7 +134,7 @@
             co_return false;
         peer_revision = body["revision"].get<std::uint64_t>();
         if (peer_revision > document->revision) {
-            co_await fetch_from(peer.control);
+            static_cast<void>(co_await fetch_from(peer.control));
             co_return true;
         }
     }
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -107,7 +107,7 @@
     auto delay = settings_.retry_delay;
     while (!state_.document()) {
         for (auto const& peer : random_peers(peers_asked))
-            co_await fetch_from(peer.control);
+            static_cast<void>(co_await fetch_from(peer.control));
         auto read = co_await refresh();
         if (state_.document()) break;
         log_event(log_level::warning, "config_missing", {{"reason", read.error().message}});
