--- /dev/null
+++ b/tests/integration/weights_activation_test.cpp
@@ -0,0 +1,177 @@
+// Activation against a small engine and key-value service on a listener of this process.
+#include "hibiscuswall/http/http_server.hpp"
+#include "hibiscuswall/weights/activation.hpp"
+
+#include "support/free_port.hpp"
+#include "support/run_coroutine.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+namespace {
+
+struct always_confirmed final : config_source {
+    bool is_confirmed = true;
+    [[nodiscard]] auto current() const -> config_view_ptr override { return nullptr; }
+    [[nodiscard]] auto confirmed(time_point /*now*/) const -> bool override { return is_confirmed; }
+    auto subscribe(std::function<void(config_view const&)> /*changed*/) -> void override {}
+};
+
+struct recording_gate final : endpoint_control {
+    std::optional<served_weights> now;
+    std::optional<served_weights> before_drain;
+    bool drains = true;
+    auto drain(milliseconds /*timeout*/) -> asio::awaitable<bool> override
+    {
+        before_drain = now;
+        now.reset();
+        co_return drains;
+    }
+    auto serve(served_weights const& weights) -> void override { now = weights; }
+    auto close(result_code /*reason*/) -> void override { now.reset(); }
+    [[nodiscard]] auto serving() const -> std::optional<served_weights> override { return now; }
+};
+
+} // namespace
+
+TEST_GROUP(weights_activation)
+{
+    asio::io_context io;
+    timeline events{"host-1", 64};
+    metrics measures;
+    random_source random{1};
+    http_client client{io, nullptr};
+    rpc_dispatcher rpc;
+    http_router control;
+    address where = free_address();
+    process_context context{io, {}, client, rpc, control, events, measures, random};
+    http_router routes;
+    std::unique_ptr<http_server> server;
+    always_confirmed config;
+    recording_gate gate;
+    weights_settings settings;
+    key_value_client store{client, {where}, milliseconds{500}};
+    engine_client engine{client, where, milliseconds{500}};
+    served_weights old_weights{"m", "", "v1", "digest-1"};
+    served_weights new_weights{"m", "", "v2", "digest-2"};
+
+    // ---- state of the small engine and store
+    nlohmann::json loaded = {{"state", "ready"}, {"version", "v1"}, {"manifest_digest", "digest-1"}};
+    std::uint64_t newest_fencing = 0;
+    std::string refused_version;
+    int orders = 0;
+    std::string stored = "0";
+    std::uint64_t stored_revision = 1;
+
+    void setup() override
+    {
+        context.self.name = "host-1";
+        context.self.control = where;
+        settings.load_timeout = milliseconds{300};
+        settings.probe_period = milliseconds{5};
+        routes.add("GET", "/v1/status", [this](http_request const& /*request*/, http_responder& out) {
+            return answer(out, 200, loaded.dump());
+        });
+        routes.add("POST", "/v1/orders", [this](http_request const& request, http_responder& out) {
+            return answer(out, take_order(nlohmann::json::parse(request.body)), "{}");
+        });
+        routes.add("GET", "/v1/kv/", [this](http_request const& /*request*/, http_responder& out) {
+            return answer(out, 200, stored);
+        });
+        routes.add("PUT", "/v1/kv/", [this](http_request const& request, http_responder& out) {
+            stored = request.body;
+            ++stored_revision;
+            return answer(out, 200, R"({"revision":)" + std::to_string(stored_revision) + "}");
+        });
+        server = std::make_unique<http_server>(io, routes, nullptr, http_server_limits{});
+        CHECK(server->listen(where).has_value());
+        gate.serve(old_weights);
+    }
+
+    auto answer(http_responder& out, int status, std::string body)->asio::awaitable<void>
+    {
+        auto response = json_response(status, std::move(body));
+        response.headers.set("X-Revision", static_cast<long long>(stored_revision));
+        co_await out.send(std::move(response));
+    }
+
+    auto take_order(nlohmann::json const& order)->int
+    {
+        ++orders;
+        auto const number = order.value("fencing", std::uint64_t{0});
+        if (number <= newest_fencing) return 409;
+        newest_fencing = number;
+        if (order.value("version", "") == refused_version) return 500;
+        loaded["version"] = order.value("version", "");
+        loaded["manifest_digest"] = order.value("manifest_digest", "");
+        return 200;
+    }
+
+    auto order(bool wanted = true)->result<void>
+    {
+        auto activating = activation{context, config, store, engine, gate, settings};
+        return run_coroutine(io, activating.order(new_weights, [wanted] { return wanted; }));
+    }
+};
+
+TEST(weights_activation, drains_orders_probes_and_serves)
+{
+    CHECK(order().has_value());
+    CHECK(gate.before_drain == old_weights);
+    CHECK(gate.now == new_weights);
+    STRCMP_EQUAL("1", stored.c_str());
+}
+
+// Guards against an order that an engine refuses for ever because a newer incarnation used the number.
+TEST(weights_activation, a_stale_fencing_number_is_replaced_by_a_newer_one)
+{
+    newest_fencing = 2;
+    CHECK(order().has_value());
+    CHECK_EQUAL(3, orders);
+    CHECK_EQUAL(3U, newest_fencing);
+    CHECK(gate.now == new_weights);
+}
+
+// Guards against an endpoint that stays closed after a version that the engine cannot load.
+TEST(weights_activation, after_a_failed_load_the_old_version_serves)
+{
+    refused_version = "v2";
+    auto const done = order();
+    CHECK(!done && done.error().code == result_code::load_rejected);
+    CHECK(gate.now == old_weights);
+}
+
+// Guards against mixed weights: an engine that lost the old version is ordered to load it again.
+TEST(weights_activation, a_failed_load_that_cost_the_old_weights_orders_them_again)
+{
+    refused_version = "v2";
+    loaded["state"] = "cold";
+    loaded["manifest_digest"] = "";
+    auto const done = order();
+    CHECK(!done);
+    CHECK(!gate.now.has_value()); // still cold: it may not serve
+}
+
+// Guards against a cut answer: requests in flight keep their version.
+TEST(weights_activation, requests_that_do_not_drain_put_the_switch_off)
+{
+    gate.drains = false;
+    auto const done = order();
+    CHECK(!done && done.error().code == result_code::endpoint_draining);
+    CHECK(gate.now == old_weights);
+    CHECK_EQUAL(0, orders);
+}
+
+// Guards against an order by a process that was paused or that lost the declaration.
+TEST(weights_activation, no_order_goes_out_unconfirmed_or_unwanted)
+{
+    config.is_confirmed = false;
+    CHECK(order().error().code == result_code::configuration_unconfirmed);
+    config.is_confirmed = true;
+    CHECK(order(false).error().code == result_code::cancelled);
+    settings.clock_gap = milliseconds{-1};
+    CHECK(order().error().code == result_code::fencing_outdated);
+    CHECK_EQUAL(0, orders);
+    CHECK(gate.now == old_weights);
+}
