Run the chunk plan once for events within 4 ms

Cause: every poll answer and fetch end ran the plan over all chunks and peers and looked up every chunk in the store, which took the processor at N=48. Now events within 4 ms share one run and the store is looked at every 500 ms.

--- a/include/hibiscuswall/weights/transfer.hpp
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -50,6 +50,7 @@
     using fetched = std::variant<chunk_bytes, fetch_failure>;
 
     auto refresh_hosts() -> void;
+    auto note_held() -> void;
     auto start_fetches() -> void;
     auto poll_loop() -> asio::awaitable<void>;
     auto poll(std::string name) -> asio::awaitable<void>;
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto loop_pause = milliseconds{20};    // until a busy peer or a waiting source is looked at again
+constexpr auto gather_pause = milliseconds{4};   // events within it share one run of the chunk plan
 constexpr auto hosts_period = milliseconds{500}; // between looks at the member table
 constexpr auto survey_peers = std::size_t{16};   // asked before the first draw, so that a restarted host
                                                  // does not draw what its region already holds
@@ -85,21 +86,23 @@
 {
     auto const self = shared_from_this();
     refresh_hosts();
+    note_held();
     co_await survey();
     asio::co_spawn(parts_.context.io, poll_loop(), asio::detached);
     while (!cancelled_) {
-        // Chunks may also arrive by another version's transfer that names the same digest.
-        for (auto i = std::size_t{0}; i < version_->chunks.size(); ++i)
-            if (!plan_.is_held(i) && parts_.store.find(version_->chunks[i].sha256) != nullptr) plan_.held(i);
         if (plan_.complete()) {
             if (co_await verify_whole()) break;
             cancelled_ = true;
             co_return fail(result_code::manifest_invalid,
                            version_->id() + ": the chunks match, the whole does not");
         }
-        if (clock::now() - hosts_refreshed_ > hosts_period) refresh_hosts();
+        if (clock::now() - hosts_refreshed_ > hosts_period) {
+            refresh_hosts();
+            note_held();
+        }
         start_fetches();
         co_await wait(loop_pause);
+        co_await sleep_for(gather_pause);
     }
     auto const was_cancelled = cancelled_;
     cancelled_ = true; // ends the poll loop
@@ -107,6 +110,13 @@
     co_return success();
 }
 
+// Chunks may also come from an earlier version, or from its transfer that is still ending.
+auto transfer::note_held() -> void
+{
+    for (auto i = std::size_t{0}; i < version_->chunks.size(); ++i)
+        if (!plan_.is_held(i) && parts_.store.find(version_->chunks[i].sha256) != nullptr) plan_.held(i);
+}
+
 auto transfer::start_fetches() -> void
 {
     while (auto what = plan_.next(clock::now(), parts_.context.random))
@@ -147,7 +157,7 @@
     else if (answer.value().is_object())
         plan_.peer_has(name, chunks_from_hex(answer.value().value("chunks", ""), version_->chunks.size()),
                        clock::now());
-    wake();
+    if (polls_ == 0) wake();
 }
 
 auto transfer::fetch(chunk_fetch what) -> asio::awaitable<void>
--- a/tests/integration/weights_activation_test.cpp
+++ b/tests/integration/weights_activation_test.cpp
@@ -89,7 +89,7 @@
         gate.serve(old_weights);
     }
 
-    auto answer(http_responder& out, int status, std::string body)->asio::awaitable<void>
+    auto answer(http_responder & out, int status, std::string body)->asio::awaitable<void>
     {
         auto response = json_response(status, std::move(body));
         response.headers.set("X-Revision", static_cast<long long>(stored_revision));
--- a/tools/measures/weights.py
+++ b/tools/measures/weights.py
@@ -192,6 +192,30 @@
             t.join()
         return results
 
+    def cpu_seconds(self):
+        total = 0
+        for h in self.hosts:
+            try:
+                fields = pathlib.Path(f"/proc/{h['process'].pid}/stat").read_text().rsplit(")", 1)[1].split()
+                total += int(fields[11]) + int(fields[12])
+            except OSError:
+                pass
+        return total / os.sysconf("SC_CLK_TCK")
+
+    def failures(self):
+        """Fetches that brought nothing, by reason, over all hosts."""
+        totals = {}
+        for h in self.hosts:
+            try:
+                page = request(h["listen"], "GET", "/metrics")[2]
+            except OSError:
+                continue
+            for line in page.splitlines():
+                if "weights_fetch_failures" in line and "reason=" in line:
+                    reason = line.split('reason="')[1].split('"')[0]
+                    totals[reason] = totals.get(reason, 0) + int(float(line.split()[-1]))
+        return ",".join(f"{k}:{v}" for k, v in sorted(totals.items())) or "none"
+
     def wrong_answers(self, results):
         """Answers that are missing, incomplete, or from other bytes than those of one whole version."""
         whole = {}
@@ -222,7 +246,7 @@
             raise TimeoutError("v1")
         run.live_for(2)
         idle = run.live_for(4)
-        before = origin_bytes(run)
+        before, cpu_before = origin_bytes(run), run.cpu_seconds()
         stop, threads, results = run.live_for()
         begun = time.time()
         run.declare("v2")
@@ -236,6 +260,7 @@
                 run.proxy.fault = fault
         done = run.wait_active("v2", counted, bound(count) * 5 + 30)
         ended = time.time()
+        cores = (run.cpu_seconds() - cpu_before) / (ended - begun)
         stop.set()
         for t in threads:
             t.join()
@@ -248,7 +273,8 @@
         where = f"n={count} seed={seed}" + (f" fault={fault}" if fault else "")
         ratio, wrong = p99[1] / p99[0] if p99[0] else math.inf, run.wrong_answers(results)
         return [(f"{prefix}.time_over_bound", seconds / bound(count), limit, seconds / bound(count) <= limit,
-                 f"{where} seconds={seconds:.2f} median={median:.2f} ideal={bound(count):.2f} active={ended - begun:.2f}"),
+                 f"{where} seconds={seconds:.2f} median={median:.2f} ideal={bound(count):.2f} active={ended - begun:.2f} "
+                 f"host_cores={cores:.2f} load={os.getloadavg()[0]:.0f} failures={run.failures()}"),
                 (f"{prefix}.origin_copies", copies, 1.1, copies <= 1.1, where),
                 (f"{prefix}.mixed_or_partial_answers", wrong, 0, wrong == 0, f"{where} answers={len(results)}"),
                 (f"{prefix}.live_p99_ratio", ratio, 1.5, ratio <= 1.5, f"{where} p99_idle={p99[0]:.3f} p99_transfer={p99[1]:.3f}")]
