--- a/include/hibiscuswall/core/random_source.hpp
+++ b/include/hibiscuswall/core/random_source.hpp
@@ -1,6 +1,9 @@
 #pragma once
 // The one generator of a process, seeded by --seed so that a run can be repeated.
 //
+// Ids come from an engine of their own: two processes, or two lives of one process, with the same seed must
+// repeat their choices but never share a call id or write id.
+//
 //   auto random = random_source{42};
 //   auto index = random.below(endpoints.size());
 
@@ -14,7 +17,8 @@
 
 class random_source {
 public:
-    explicit random_source(std::uint64_t seed) : engine_{seed} {}
+    explicit random_source(std::uint64_t seed) : random_source{seed, seed} {}
+    random_source(std::uint64_t seed, std::uint64_t id_seed) : engine_{seed}, id_engine_{id_seed} {}
 
     // Uniform in [0, limit); 0 when limit is 0.
     auto below(std::size_t limit) -> std::size_t
@@ -32,7 +36,7 @@
         constexpr auto digits = "0123456789abcdef";
         auto text = std::string(32, '0');
         for (auto at = std::size_t{0}; at < text.size(); at += 16) {
-            auto word = engine_();
+            auto word = id_engine_();
             for (auto i = std::size_t{0}; i < 16; ++i, word >>= 4U)
                 text[at + i] = digits[word & 15U];
         }
@@ -43,6 +47,7 @@
 
 private:
     std::mt19937_64 engine_;
+    std::mt19937_64 id_engine_; // of id()
 };
 
 } // namespace hibiscuswall
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/daemon/daemon_base.hpp"
 
+#include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/daemon/daemon_options.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
@@ -17,6 +18,12 @@
 
 constexpr auto timeline_capacity = std::size_t{4096}; // events; the oldest are overwritten
 
+// Differs between processes and between the lives of one process, even with equal seeds.
+auto id_seed(member const& self, std::uint64_t seed) -> std::uint64_t
+{
+    return rendezvous_weight(self.name + '/' + std::to_string(self.incarnation), std::to_string(seed));
+}
+
 } // namespace
 
 struct daemon_base::state {
@@ -34,7 +41,7 @@
     bool stopping = false;
 
     state(member self, std::uint64_t seed)
-        : events{self.name, timeline_capacity}, random{seed}, client{io, &events},
+        : events{self.name, timeline_capacity}, random{seed, id_seed(self, seed)}, client{io, &events},
           context{io, std::move(self), client, rpc, control, events, measures, random}
     {
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -368,7 +368,8 @@
     if (!failed.empty())
         log_event(log_level::error, "http_handler_failed", {{"target", request.target}, {"reason", failed}});
     if (answer.answered()) co_return;
-    // GCC 12 destroys the temporary of a conditional expression inside co_await although it was not constructed.
+    // GCC 12 destroys the temporary of a conditional expression inside co_await although it was not
+    // constructed.
     if (failed.empty()) failed = "no answer";
     co_await out.send(json_response(500, error_body(result_code::internal_error, failed)));
 }
