--- a/src/calls/gate_state.hpp
+++ b/src/calls/gate_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
-// State of request_gate, shared by its sources: request_gate.cpp (admission and lifecycle), forward_call.cpp
-// (one call to the endpoint) and engine_watch.cpp (the engine's status). Network thread only.
+// State of request_gate, shared by its sources: request_gate.cpp (admission and lifecycle), gate_rpc.cpp,
+// forward_call.cpp (one call to the endpoint) and engine_watch.cpp (the engine's status). Network thread
+// only.
 
 #include "hibiscuswall/admission/admission_controller.hpp"
 #include "hibiscuswall/calls/call_registry.hpp"
@@ -63,6 +64,8 @@
     auto move(endpoint_event event) -> void;
     auto finish_call(std::uint64_t id, run_sample sample) -> void;
     auto weight_of(std::string const& account) const -> double;
+
+    // ---- gate_rpc.cpp
     auto resolve(nlohmann::json const& params) -> result<nlohmann::json>;
     auto status() const -> nlohmann::json;
 
