--- a/tools/measures/at_most_once.py
+++ b/tools/measures/at_most_once.py
@@ -37,7 +37,7 @@
             continue
         if status == 200:
             if f'"number": {number}' not in json.loads(text)["body"]:
-                print(f"at_most_once: booking {number} got the answer {text}", file=sys.stderr)
+                print(f"at_most_once: booking {number} got {fields.get('x-call-id')} entry {entries[(number + attempt) % len(entries)]} try {attempt} replayed {fields.get('x-replayed')} {text}", file=sys.stderr)
                 return "wrong"
             return "yes"
         told.append(fields.get("x-ran", "unknown"))
