--- a/tests/integration/service_changes_test.cpp
+++ b/tests/integration/service_changes_test.cpp
@@ -83,7 +83,8 @@
         auto count = 0;
         for (auto const* agent : system->agents()) {
             if (agent->service != "booking") continue;
-            for (auto const& record : records_of(agent->name)["records"])
+            auto const records = records_of(agent->name);
+            for (auto const& record : records["records"])
                 count += record["body"] == body ? 1 : 0;
         }
         return count;
@@ -114,7 +115,9 @@
     LONGS_EQUAL(0, *code);
     pause(milliseconds{1'000});
     expect_no_error();
-    for (auto const& request : records_of("drafting-0")["requests"])
+    auto const records = records_of("drafting-0");
+    CHECK(!records["requests"].empty());
+    for (auto const& request : records["requests"])
         STRCMP_EQUAL("finished", request["state"].get<std::string>().c_str());
 }
 
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -85,7 +85,8 @@
         while (!down && clock::now() < end && (!entries.contains(key) || entries[key].revision <= after))
             co_await sleep_for(milliseconds{5});
         if (down) co_return co_await send_status(out, 503);
-        if (!entries.contains(key) || entries[key].revision <= after) co_return co_await send_status(out, 204);
+        if (!entries.contains(key) || entries[key].revision <= after)
+            co_return co_await send_status(out, 204);
         auto const found = entries[key];
         co_await send(out, 200, found);
     }
