--- a/src/platform/weight_source_client.cpp
+++ b/src/platform/weight_source_client.cpp
@@ -64,7 +64,7 @@
         if (status == 429 || status == 503)
             sources_[i].wait_until = clock::now() + retry_after(opened.value()->headers());
         // Reads the short error body so that the connection can be used again.
-        co_await opened.value()->read_all();
+        [[maybe_unused]] auto const refusal = co_await opened.value()->read_all();
     }
     co_return last;
 }
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -236,7 +236,7 @@
     if (!have.empty()) plan_.peer_has(name, chunks_from_hex(have, version_->chunks.size()), clock::now());
     auto const status = stream.status();
     if (status != 200) {
-        co_await stream.read_all();
+        [[maybe_unused]] auto const refusal = co_await stream.read_all();
         co_return status == 503 ? fetch_failure::busy : fetch_failure::absent;
     }
     co_return co_await read_chunk(std::move(opened).value(), version_->chunks[chunk].size);
