Fix answers of other callers' calls after equal call ids

Cause: the call id was a hash of a prefix that was declared but never set and a counter, so two entries (and two lives of one entry) gave different calls the same id; the agent took the second for a repeat and answered it with the first one's answer.

--- a/src/calls/call_handler.cpp
+++ b/src/calls/call_handler.cpp
@@ -55,7 +55,7 @@
 {
     auto self = shared_from_this();
     auto const started = clock::now();
-    auto const id = next_id();
+    auto const id = context.random.id();
     auto view = config.current();
     if (view == nullptr) {
         auto missing = fail(result_code::configuration_missing, "this entry has no configuration yet");
--- a/src/calls/call_services.hpp
+++ b/src/calls/call_services.hpp
@@ -2,7 +2,6 @@
 // What all calls of an entry share; lives until the last call has ended.
 
 #include "hibiscuswall/calls/call_handler.hpp"
-#include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/routing/endpoint_router.hpp"
 #include "hibiscuswall/routing/retry_budget.hpp"
 
@@ -17,8 +16,6 @@
     retry_budget budget;
     claim_store claims;
     std::size_t in_flight = 0;
-    std::string id_prefix;      // name and incarnation of this process
-    std::uint64_t numbered = 0; // calls so far
 
     state(process_context& process, config_source& configuration, member_source& table,
           key_value_client& store, call_settings given)
@@ -28,10 +25,6 @@
     {
     }
 
-    // Not from the random generator: two entries with the same seed would give two calls the same id, and one
-    // caller the answer of the other.
-    auto next_id() -> std::string { return sha256(id_prefix + std::to_string(++numbered)).substr(0, 32); }
-
     auto handle(http_request const& request, http_responder& out) -> asio::awaitable<void>;
 
     // Stores how a claimed call ended, after the caller has its answer.
