--- a/include/hibiscuswall/api/resource_api.hpp
+++ b/include/hibiscuswall/api/resource_api.hpp
@@ -18,7 +18,7 @@
                  member_source& members);
 
 private:
-    auto answer_resources(http_request request) -> http_response;
+    auto answer_resources(http_request const& request) -> http_response;
     auto answer_resource(http_request request) -> asio::awaitable<http_response>;
     auto answer_apply(http_request request) -> asio::awaitable<http_response>;
     auto write(config_change change) -> asio::awaitable<http_response>;
--- a/include/hibiscuswall/calls/request_gate.hpp
+++ b/include/hibiscuswall/calls/request_gate.hpp
@@ -34,6 +34,8 @@
     request_gate(process_context& context, config_source& config, endpoint_settings endpoint,
                  admission_settings admission);
     ~request_gate() override;
+    request_gate(request_gate const&) = delete;
+    auto operator=(request_gate const&) -> request_gate& = delete;
 
     auto start() -> void;
 
--- a/include/hibiscuswall/lifecycle/version_machine.hpp
+++ b/include/hibiscuswall/lifecycle/version_machine.hpp
@@ -40,6 +40,8 @@
 public:
     version_machine();
     ~version_machine();
+    version_machine(version_machine const&) = delete;
+    auto operator=(version_machine const&) -> version_machine& = delete;
     version_machine(version_machine&&) noexcept;
     auto operator=(version_machine&&) noexcept -> version_machine&;
 
--- a/src/api/ctl_commands.cpp
+++ b/src/api/ctl_commands.cpp
@@ -171,7 +171,8 @@
         auto written = session.apply(std::move(request));
         // Another operator's write came between: the field is set on what that one left.
         if (written || written.error().code != result_code::revision_conflict)
-            return print_written(options, written, kind + "/" + words[1] + " is " + state);
+            return print_written(options, written,
+                                 (kind + "/").append(words[1]).append(" is ").append(state));
         last = written.error();
         session.pause(poll_interval);
     }
--- a/src/api/ctl_files.cpp
+++ b/src/api/ctl_files.cpp
@@ -1,6 +1,8 @@
 #include "hibiscuswall/api/ctl_files.hpp"
 
+#include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <map>
 
 namespace hibiscuswall {
@@ -35,8 +37,8 @@
             auto mistakes = std::vector<std::string>{};
             auto const where = list.is_array() ? "resources[" + std::to_string(i) + "]" : std::string{};
             auto parsed = parse_resource(items[i], where, mistakes);
-            for (auto const& mistake : mistakes)
-                errors.push_back(path + ": " + mistake);
+            std::transform(mistakes.begin(), mistakes.end(), std::back_inserter(errors),
+                           [&](std::string const& mistake) { return path + ": " + mistake; });
             if (!parsed) continue;
             auto const [first, added] = first_in.emplace(parsed->key(), path);
             if (!added) errors.push_back(path + ": " + parsed->key() + " is also in " + first->second);
--- a/src/api/resource_api.cpp
+++ b/src/api/resource_api.cpp
@@ -145,7 +145,7 @@
                });
 }
 
-auto resource_api::answer_resources(http_request request) -> http_response
+auto resource_api::answer_resources(http_request const& request) -> http_response
 {
     auto const document = config_.state().document();
     if (!document) return error_response(fail(result_code::configuration_missing, "no configuration yet"));
--- a/src/calls/caller_watch.cpp
+++ b/src/calls/caller_watch.cpp
@@ -35,6 +35,7 @@
     auto executor = co_await asio::this_coro::executor;
     auto pending = std::make_shared<pending_open>(executor);
     pending->done.expires_at(time_point::max());
+    // NOLINTNEXTLINE(performance-unnecessary-value-param): co_spawn hands the exception over by value.
     auto finished = [pending](std::exception_ptr /*cancelled*/) {
         pending->ended = true;
         pending->done.cancel();
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -197,7 +197,8 @@
 {
     auto const view = config.current();
     headers.set("Hw-Call-Id", call_id);
-    headers.set("Hw-In-Flight", static_cast<long long>(admission.in_flight() + admission.waiting()));
+    auto const in_flight = admission.in_flight() + admission.waiting();
+    headers.set("Hw-In-Flight", static_cast<long long>(in_flight));
     headers.set("Hw-Limit", static_cast<long long>(admission.limit()));
     headers.set("Hw-Endpoint-State", endpoint_state_text(machine.state()));
     headers.set("Hw-Weights-Version", ordered ? ordered->version : std::string{});
--- a/standins/support/proxy_connection.hpp
+++ b/standins/support/proxy_connection.hpp
@@ -72,7 +72,7 @@
     proxy_connection(proxy_connection const&) = delete;
     auto operator=(proxy_connection const&) -> proxy_connection& = delete;
 
-    auto start(tcp::endpoint target) -> void
+    auto start(tcp::endpoint const& target) -> void
     {
         boost::asio::co_spawn(shared_.io, run(shared_from_this(), target), boost::asio::detached);
     }
