--- a/src/api/ctl_files.cpp
+++ b/src/api/ctl_files.cpp
@@ -38,7 +38,7 @@
             auto const where = list.is_array() ? "resources[" + std::to_string(i) + "]" : std::string{};
             auto parsed = parse_resource(items[i], where, mistakes);
             std::transform(mistakes.begin(), mistakes.end(), std::back_inserter(errors),
-                           [&](std::string const& mistake) { return path + ": " + mistake; });
+                           [&](std::string const& mistake) { return (path + ": ").append(mistake); });
             if (!parsed) continue;
             auto const [first, added] = first_in.emplace(parsed->key(), path);
             if (!added) errors.push_back(path + ": " + parsed->key() + " is also in " + first->second);
