Refuse non-idempotent calls that name no agent incarnation

Cause: an entry knows an agent from the host list before gossip, which goes to one random peer a second, brings its incarnation. Until then it sent non-idempotent calls with incarnation 0, the agent ran them, and the claim kept the 0. When the answer could not be stored (store outage), the repeat asked the agent about incarnation 0 and got "other_incarnation", so that the caller was told "outcome unknown" for a booking whose answer the agent still held. The agent had not restarted and had not dropped the answer: its time line shows the call as forwarded and, 1.5 s later, as resolved with other_incarnation.

Change: the agent refuses such a call "not run" with its incarnation, and the entry sends it again.

--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -49,7 +49,9 @@
     if (!view->in_service(context.self.name, context.self.failure_domain))
         return result_code::failure_domain_out;
     auto const ours = call.incarnation >= first_incarnation && call.incarnation <= context.self.incarnation;
-    if (call.incarnation != 0 && !ours) return result_code::agent_restarted;
+    // An entry that knows this process only from the host list names no incarnation. Without one it could not
+    // ask later what became of the call; the refusal tells it, and the call is sent again.
+    if (!ours && (!call.idempotent || call.incarnation != 0)) return result_code::agent_restarted;
     if (!engine_reached) return result_code::endpoint_cold;
     if (closed != result_code::ok) return closed;
     if (is_engine() && !call.version.empty() && call.version != ordered->version)
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -46,7 +46,7 @@
     {rc::version_mismatch, "version_mismatch", 503, ran::no,
      "the endpoint does not serve the weights version asked for"},
     {rc::agent_restarted, "agent_restarted", 503, ran::no,
-     "the call was meant for an earlier incarnation of the agent"},
+     "the call must run at most once and does not name the agent's present incarnation"},
     {rc::call_revoked, "call_revoked", 409, ran::no, "the call was revoked before it arrived"},
     {rc::call_in_progress, "call_in_progress", 409, ran::unknown,
      "an earlier request with this idempotency key is still running"},
--- a/tests/integration/request_gate_test.cpp
+++ b/tests/integration/request_gate_test.cpp
@@ -227,6 +227,10 @@
     auto stale = request("b", false);
     stale.headers.set("Hw-Agent-Incarnation", static_cast<long long>(own_incarnation - 1));
     check_not_run(send(stale), result_code::agent_restarted);
+    // Its lost answer could never be explained.
+    auto unnamed = request("b2", false);
+    unnamed.headers.set("Hw-Agent-Incarnation", 0LL);
+    check_not_run(send(unnamed), result_code::agent_restarted);
     auto pinned = request("c", true);
     pinned.headers.set("Hw-Weights-Version", "v0");
     check_not_run(send(pinned), result_code::version_mismatch);
