Share settings and start-up between entry and agent

Cause: both daemons read the same settings, built the same platform clients, member table, configuration and gossip, and repeated the same start-up; the JSON file reader stood in hibiscusctl and in the daemons.

No change of behaviour.

--- a/include/hibiscuswall/daemon/daemon_options.hpp
+++ b/include/hibiscuswall/daemon/daemon_options.hpp
@@ -10,7 +10,6 @@
 
 #include "hibiscuswall/core/result.hpp"
 #include "hibiscuswall/core/settings_reader.hpp"
-#include "hibiscuswall/membership/member.hpp"
 
 #include <cstdint>
 #include <string>
@@ -53,8 +52,8 @@
 
 [[nodiscard]] auto read_stop_settings(settings_reader reader) -> stop_settings;
 
-// "name", "region", "failure_domain" of this host.
-auto read_identity(settings_reader& reader, member& self) -> void;
+// Prints "program: message" and gives exit_usage.
+auto report_start_failure(std::string_view program, error const& problem) -> int;
 
 // Prints each mistake as "program: settings.json: path: reason" and gives exit_usage.
 auto report_settings_errors(std::string_view program, std::string_view path,
--- a/include/hibiscuswall/daemon/entry_daemon.hpp
+++ b/include/hibiscuswall/daemon/entry_daemon.hpp
@@ -4,22 +4,14 @@
 //   return run_entry(argc, argv);      // exit code, see docs/result-codes.md
 
 #include "hibiscuswall/calls/call_settings.hpp"
-#include "hibiscuswall/config/config_settings.hpp"
-#include "hibiscuswall/daemon/daemon_options.hpp"
-#include "hibiscuswall/membership/membership_settings.hpp"
+#include "hibiscuswall/daemon/daemon_settings.hpp"
 
 namespace hibiscuswall {
 
-struct entry_settings {
-    member self;                    // "name", "region", "failure_domain"
-    address client_listen;          // "client_listen": callers
-    address control_listen;         // "control_listen": operators, peers, metrics
-    platform_settings platform;     // "platform"
-    stop_settings stop;             // "stop"
-    config_settings config;         // "config"
-    membership_settings membership; // "membership"
-    call_settings calls;            // "calls"
-    std::string log_level = "info"; // "log_level"
+struct entry_settings : daemon_settings {
+    address client_listen;  // "client_listen": callers
+    address control_listen; // "control_listen": operators, peers, metrics
+    call_settings calls;    // "calls"
 };
 
 // Mistakes are added to errors, each with its field's path.
--- a/src/api/ctl_files.cpp
+++ b/src/api/ctl_files.cpp
@@ -1,33 +1,19 @@
 #include "hibiscuswall/api/ctl_files.hpp"
 
+#include "hibiscuswall/core/json_file.hpp"
+
 #include <algorithm>
-#include <fstream>
 #include <iterator>
 #include <map>
 
 namespace hibiscuswall {
-namespace {
-
-auto read_file(std::string const& path) -> result<nlohmann::json>
-{
-    auto file = std::ifstream{path};
-    if (!file) return fail(result_code::settings_unreadable, path + ": cannot be read");
-    try {
-        return nlohmann::json::parse(file);
-    } catch (nlohmann::json::parse_error const& problem) {
-        return fail(result_code::settings_unreadable, path + ": " + problem.what());
-    }
-}
-
-} // namespace
-
 auto read_resource_files(std::vector<std::string> const& paths) -> result<std::vector<declared_resource>>
 {
     auto declared = std::vector<declared_resource>{};
     auto errors = std::vector<std::string>{};
     auto first_in = std::map<std::string, std::string>{};
     for (auto const& path : paths) {
-        auto document = read_file(path);
+        auto document = read_json_file(path);
         if (!document) return document.error();
         auto const& content = document.value();
         auto const wrapped = content.is_object() && content.contains("resources");
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -1,27 +1,13 @@
 #include "hibiscuswall/daemon/daemon_options.hpp"
 
+#include "hibiscuswall/core/json_file.hpp"
+
 #include <cxxopts.hpp>
 
-#include <fstream>
 #include <iostream>
 #include <random>
 
 namespace hibiscuswall {
-namespace {
-
-auto read_json_file(std::string const& path) -> result<nlohmann::json>
-{
-    auto file = std::ifstream{path};
-    if (!file) return fail(result_code::settings_unreadable, path + ": cannot be read");
-    try {
-        return nlohmann::json::parse(file);
-    } catch (nlohmann::json::parse_error const& problem) {
-        return fail(result_code::settings_unreadable, path + ": " + problem.what());
-    }
-}
-
-} // namespace
-
 auto parse_daemon_options(std::string_view program, int argc, char const* const* argv)
     -> result<daemon_options>
 {
@@ -74,11 +60,10 @@
     return settings;
 }
 
-auto read_identity(settings_reader& reader, member& self) -> void
+auto report_start_failure(std::string_view program, error const& problem) -> int
 {
-    self.name = reader.text("name");
-    self.region = reader.text("region");
-    self.failure_domain = reader.text("failure_domain");
+    std::cerr << program << ": " << problem.message << '\n';
+    return exit_usage;
 }
 
 auto report_settings_errors(std::string_view program, std::string_view path,
--- /dev/null
+++ b/src/daemon/daemon_settings.cpp
@@ -0,0 +1,18 @@
+#include "hibiscuswall/daemon/daemon_settings.hpp"
+
+namespace hibiscuswall {
+
+auto read_daemon_settings(settings_reader& reader, daemon_settings& settings) -> void
+{
+    settings.self.name = reader.text("name");
+    settings.self.region = reader.text("region");
+    settings.self.failure_domain = reader.text("failure_domain");
+    settings.self.incarnation = static_cast<std::uint64_t>(wall_clock_ms());
+    settings.platform = read_platform_settings(reader.child("platform"));
+    settings.stop = read_stop_settings(reader.child("stop"));
+    settings.config = read_config_settings(reader.child("config"));
+    settings.membership = read_membership_settings(reader.child("membership"));
+    settings.log_level = reader.choice("log_level", "info", {"debug", "info", "warning", "error"});
+}
+
+} // namespace hibiscuswall
