Add the setting advertise: the address that peers use

Cause: agents and entries announced their listener, so nothing could stand between two processes and link faults could not be tested with real processes. Change: an optional address in entry and agent settings; gossip and answers name it in place of the listener.

--- a/include/hibiscuswall/daemon/daemon_settings.hpp
+++ b/include/hibiscuswall/daemon/daemon_settings.hpp
@@ -18,7 +18,7 @@
 namespace hibiscuswall {
 
 struct daemon_settings {
-    member self;                    // "name", "region", "failure_domain"
+    member self;                    // "name", "region", "failure_domain", "advertise"
     platform_settings platform;     // "platform"
     stop_settings stop;             // "stop"
     config_settings config;         // "config"
@@ -29,6 +29,10 @@
 // Fills the shared fields. self.incarnation is the wall clock, so that a restarted process has a higher one.
 auto read_daemon_settings(settings_reader& reader, daemon_settings& settings) -> void;
 
+// Address that peers and entries use: "advertise" if given, else the listener's. They differ where a relay
+// stands before the process.
+auto read_advertised_address(settings_reader& reader, address const& listen, member& self) -> void;
+
 // Reads command line and settings file; runs the daemon unless only a check or help was asked for or
 // something was wrong. Gives the exit code.
 template<class Settings>
--- a/src/daemon/agent_daemon.cpp
+++ b/src/daemon/agent_daemon.cpp
@@ -70,7 +70,7 @@
     auto reader = settings_reader{document, "", errors};
     read_daemon_settings(reader, settings);
     settings.listen = reader.endpoint_address("listen");
-    settings.self.control = settings.listen;
+    read_advertised_address(reader, settings.listen, settings.self);
     settings.endpoint = read_endpoint_settings(reader.child("endpoint"));
     settings.admission = read_admission_settings(reader.child("admission"));
     settings.weights = read_weights_settings(reader.child("weights"));
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -15,4 +15,10 @@
     settings.log_level = reader.choice("log_level", "info", {"debug", "info", "warning", "error"});
 }
 
+auto read_advertised_address(settings_reader& reader, address const& listen, member& self) -> void
+{
+    auto const advertised = reader.optional_address("advertise");
+    self.control = advertised.empty() ? listen : advertised;
+}
+
 } // namespace hibiscuswall
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -70,7 +70,7 @@
     read_daemon_settings(reader, settings);
     settings.client_listen = reader.endpoint_address("client_listen");
     settings.control_listen = reader.endpoint_address("control_listen");
-    settings.self.control = settings.control_listen;
+    read_advertised_address(reader, settings.control_listen, settings.self);
     settings.calls = read_call_settings(reader.child("calls"));
     reader.finish();
     settings.self.role = member_role::entry;
