Read the identity of the weights test program through daemon_settings

Change: the function is declared in daemon_settings.hpp again. Measured: full build; unit tests 133 passed, the accepted_configuration tests 2 passed.

--- a/include/hibiscuswall/daemon/daemon_settings.hpp
+++ b/include/hibiscuswall/daemon/daemon_settings.hpp
@@ -26,6 +26,9 @@
     std::string log_level = "info"; // "log_level"
 };
 
+// "name", "region", "failure_domain".
+auto read_identity(settings_reader& reader, member& self) -> void;
+
 // Fills the shared fields. self.incarnation is the wall clock, so that a restarted process has a higher one.
 auto read_daemon_settings(settings_reader& reader, daemon_settings& settings) -> void;
 
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -2,11 +2,16 @@
 
 namespace hibiscuswall {
 
+auto read_identity(settings_reader& reader, member& self) -> void
+{
+    self.name = reader.text("name");
+    self.region = reader.text("region");
+    self.failure_domain = reader.text("failure_domain");
+}
+
 auto read_daemon_settings(settings_reader& reader, daemon_settings& settings) -> void
 {
-    settings.self.name = reader.text("name");
-    settings.self.region = reader.text("region");
-    settings.self.failure_domain = reader.text("failure_domain");
+    read_identity(reader, settings.self);
     settings.self.incarnation = static_cast<std::uint64_t>(wall_clock_ms());
     settings.platform = read_platform_settings(reader.child("platform"));
     settings.stop = read_stop_settings(reader.child("stop"));
--- a/tests/programs/weights_host.cpp
+++ b/tests/programs/weights_host.cpp
@@ -3,7 +3,7 @@
 // agent (tools/measures/weights.py).
 #include "hibiscuswall/calls/request_gate.hpp"
 #include "hibiscuswall/daemon/daemon_base.hpp"
-#include "hibiscuswall/daemon/daemon_options.hpp"
+#include "hibiscuswall/daemon/daemon_settings.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/weights/weights_service.hpp"
 
