--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,5 +1,8 @@
 #include "hibiscuswall/http/http_server.hpp"
 
+#include "disconnect_watch.hpp"
+#include "read_limit.hpp"
+
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -80,77 +83,6 @@
 
 namespace {
 
-// Watches for the caller closing its connection while a handler runs. A caller that shuts down its sending
-// side is taken as gone, since HTTP callers that still want the answer keep it open.
-struct disconnect_watch : std::enable_shared_from_this<disconnect_watch> {
-    beast::tcp_stream& stream;
-    std::function<void()> callback;
-    bool gone = false;
-    bool finished = false;
-
-    explicit disconnect_watch(beast::tcp_stream& watched) : stream{watched} {}
-
-    auto arm() -> void
-    {
-        stream.socket().async_wait(tcp::socket::wait_read,
-                                   [self = shared_from_this()](boost::system::error_code code) {
-                                       if (self->finished || code == asio::error::operation_aborted) return;
-                                       self->inspect();
-                                   });
-    }
-
-    auto inspect() -> void
-    {
-        auto byte = char{};
-        auto code = boost::system::error_code{};
-        auto const size = stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-        if (!code && size > 0) return; // a pipelined request: nothing more can be learned by waiting
-        if (code == asio::error::would_block || code == asio::error::try_again) return arm();
-        gone = true;
-        if (callback) std::exchange(callback, nullptr)();
-    }
-};
-
-// Cancels the reading of a request after a time. The stream's own timeout closes the socket, which leaves no
-// way to answer 408.
-class read_limit {
-public:
-    read_limit(beast::tcp_stream& stream, milliseconds timeout)
-        : shared_{std::make_shared<shared>(stream.get_executor(), stream)}
-    {
-        stream.expires_never();
-        shared_->timer.expires_after(timeout);
-        shared_->timer.async_wait([shared = shared_](boost::system::error_code code) {
-            if (code || shared->stopped) return;
-            shared->fired = true;
-            auto ignored = boost::system::error_code{};
-            shared->stream.socket().cancel(ignored);
-        });
-    }
-
-    // Ends the watch; true when the time had passed.
-    auto stop() -> bool
-    {
-        shared_->stopped = true;
-        shared_->timer.cancel();
-        return shared_->fired;
-    }
-
-private:
-    struct shared {
-        shared(asio::any_io_executor const& executor, beast::tcp_stream& watched)
-            : timer{executor}, stream{watched}
-        {
-        }
-
-        asio::steady_timer timer;
-        beast::tcp_stream& stream;
-        bool stopped = false;
-        bool fired = false;
-    };
-    std::shared_ptr<shared> shared_;
-};
-
 class responder final : public http_responder {
 public:
     responder(beast::tcp_stream& stream, http_server::state& server, std::shared_ptr<disconnect_watch> watch,
@@ -342,8 +274,7 @@
         ++active;
         co_await handle(request, out);
         --active;
-        watch->finished = true;
-        watch->callback = nullptr;
+        watch->finish();
         if (!out.reusable()) co_return;
         auto ignored = boost::system::error_code{};
         stream.socket().cancel(ignored); // ends the disconnect watch
