Keep reading after an HTTP refusal so that the caller can take it

Cause: the server closed the socket while the caller still sent its body. Unread bytes make the kernel reset the connection; the caller's write failed with a broken pipe, and the answer 413 was lost. Change: after the answer to a request that could not be read, the server shuts down its sending side and discards what still arrives, for at most linger_timeout.

--- a/include/hibiscuswall/http/http_server.hpp
+++ b/include/hibiscuswall/http/http_server.hpp
@@ -4,8 +4,8 @@
 //
 //   auto server = http_server{io, routes, &events, {}};
 //   auto bound = server.listen(listen_address);        // settings_invalid when the address is taken
-//   server.stop_accepting();                           // keeps serving open connections; idle ones are
-//   closed server.active();                                   // requests being handled now
+//   server.stop_accepting();                           // open connections end their request, idle ones close
+//   server.active();                                   // requests being handled now
 
 #include "hibiscuswall/core/address.hpp"
 #include "hibiscuswall/core/result.hpp"
@@ -26,6 +26,7 @@
     milliseconds request_timeout{10'000}; // from the first byte to the whole request: 408
     milliseconds idle_timeout{60'000};    // kept-alive connection without a request
     milliseconds write_timeout{30'000};   // one write to a caller that does not read
+    milliseconds linger_timeout{1'000};   // reading on after a refusal, so that the caller can take it
 };
 
 class http_server {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -19,6 +19,7 @@
 #include <nlohmann/json.hpp>
 
 #include <set>
+#include <vector>
 
 namespace hibiscuswall {
 namespace {
@@ -29,6 +30,7 @@
 
 constexpr auto awaitable_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto first_read_bytes = std::size_t{4096};
+constexpr auto discard_bytes = std::size_t{16 * 1024}; // read at a time after a refusal
 
 auto error_body(result_code code, std::string_view message) -> std::string
 {
@@ -179,6 +181,20 @@
     bool broken_ = false;
 };
 
+// Reads what the caller still sends. Closing a socket with unread bytes resets the connection, and a caller
+// whose write fails may never read its answer.
+auto discard_rest(beast::tcp_stream& stream, milliseconds time) -> asio::awaitable<void>
+{
+    auto ignored = boost::system::error_code{};
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    auto scratch = std::vector<char>(discard_bytes);
+    stream.expires_after(time);
+    while (true) {
+        auto [code, size] = co_await stream.async_read_some(asio::buffer(scratch), awaitable_tuple);
+        if (code) co_return;
+    }
+}
+
 // Error answer for a request that could not be read; empty when the connection just ended.
 auto read_failure(boost::system::error_code code) -> std::optional<http_response>
 {
@@ -261,6 +277,7 @@
             if (!failure) co_return;
             auto out = responder{stream, *this, watch, false};
             co_await out.send(std::move(*failure));
+            co_await discard_rest(stream, limits.linger_timeout);
             co_return;
         }
 
--- a/tests/integration/http_test.cpp
+++ b/tests/integration/http_test.cpp
@@ -131,6 +131,15 @@
     CHECK(run(client.fetch(where, {"POST", "/echo", {}, "alive"})).has_value());
 }
 
+// Guards against an answer 413 that the caller never sees: closing a socket with unread bytes resets the
+// connection, which discards what was sent.
+TEST(http, a_caller_that_still_sends_gets_the_refusal)
+{
+    auto answer = run(client.fetch(where, {"POST", "/echo", {}, std::string(4'000'000, 'x')}));
+    CHECK_TEXT(answer.has_value(), answer ? "" : answer.error().message.c_str());
+    LONGS_EQUAL(413, answer.value().status);
+}
+
 // Guards against work that goes on for a caller that left.
 TEST(http, a_handler_learns_that_the_caller_left)
 {
