Keep an HTTP server's state until its accept loop has ended

Cause: the accept loop took its share of the state when it first ran; a server that was destroyed before, as when a daemon cannot bind its second listener, left the loop with a dangling pointer. Change: the spawned function owns the state.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -341,7 +341,9 @@
     if (code)
         return fail(result_code::settings_invalid,
                     "cannot listen on " + where.text() + ": " + code.message());
-    asio::co_spawn(state_->io, state_->accept_loop(), asio::detached);
+    // The loop keeps the state alive from now on: the server may be destroyed before the loop first runs.
+    auto loop = [kept = state_]() -> asio::awaitable<void> { return kept->accept_loop(); };
+    asio::co_spawn(state_->io, std::move(loop), asio::detached);
     return success();
 }
 
--- a/tests/integration/http_test.cpp
+++ b/tests/integration/http_test.cpp
@@ -140,6 +140,14 @@
     LONGS_EQUAL(413, answer.value().status);
 }
 
+// Guards against a crash when a daemon gives up its start after it has begun to listen.
+TEST(http, a_server_may_be_destroyed_before_its_loop_ran)
+{
+    server.reset();
+    io.run_for(milliseconds{5});
+    CHECK(!run(client.fetch(where, {"POST", "/echo", {}, "x"})).has_value());
+}
+
 // Guards against work that goes on for a caller that left.
 TEST(http, a_handler_learns_that_the_caller_left)
 {
