Write a request's class in one place

Cause: the header Hw-Class was written by one switch and read by another, equal one. Change: forward_answer uses request_class_text.

--- a/src/calls/forward_answer.cpp
+++ b/src/calls/forward_answer.cpp
@@ -1,21 +1,10 @@
 #include "hibiscuswall/calls/forward_answer.hpp"
 
+#include "hibiscuswall/calls/forward_request.hpp"
+
 namespace hibiscuswall {
 namespace {
 
-auto class_text(request_class priority) -> std::string_view
-{
-    switch (priority) {
-    case request_class::booking:
-        return "booking";
-    case request_class::status:
-        return "status";
-    case request_class::drafting:
-        return "drafting";
-    }
-    return "drafting";
-}
-
 auto read_ran(std::string_view text) -> ran
 {
     if (text == "no") return ran::no;
@@ -32,7 +21,7 @@
     auto const remaining = std::chrono::duration_cast<milliseconds>(call.deadline - now).count();
     headers.set("Hw-Call-Id", attempt.id);
     headers.set("Hw-Account", call.account);
-    headers.set("Hw-Class", class_text(call.priority));
+    headers.set("Hw-Class", request_class_text(call.priority));
     headers.set("Hw-Deadline-Ms", std::max(1LL, static_cast<long long>(remaining)));
     headers.set("Hw-Config-Revision", static_cast<long long>(view.revision));
     headers.set("Hw-Method", call.method);
