Bound the size of one event of a stream at the entry

Cause: event_parser kept the bytes of an unfinished event without a limit, and searched them from the start for each piece. An engine that never ends an event could fill the entry's memory (seen: 64 MB taken in one call, as much as the test offered). Change: an event over 1 MB cuts the stream like any other fault of the endpoint, and the call resumes elsewhere; the search begins where the last one ended.

--- a/include/hibiscuswall/calls/event_parser.hpp
+++ b/include/hibiscuswall/calls/event_parser.hpp
@@ -2,7 +2,7 @@
 // Splits the bytes of a stream of server-sent events into whole events.
 //
 //   for (auto& event : parser.feed(piece)) relay(event.text);
-//   parser.pending();                     // bytes of an event that is not whole yet
+//   if (parser.too_long()) give_up();     // the sender does not end its event
 
 #include <optional>
 #include <string>
@@ -11,6 +11,8 @@
 
 namespace hibiscuswall {
 
+constexpr auto max_event_bytes = std::size_t{1024 * 1024}; // bounds the memory that one stream can take
+
 struct stream_event {
     std::optional<long long> id; // from "id:"; none when absent or not a number
     std::string type;            // from "event:"; empty for a plain one
@@ -20,8 +22,12 @@
 class event_parser {
 public:
     auto feed(std::string_view bytes) -> std::vector<stream_event>;
+
+    // Bytes of an event that is not whole yet.
     [[nodiscard]] auto pending() const -> std::size_t { return buffer_.size(); }
 
+    [[nodiscard]] auto too_long() const -> bool { return pending() > max_event_bytes; }
+
 private:
     std::string buffer_;
 };
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -212,6 +212,8 @@
             note_result("streamed");
             co_return attempt_end::done;
         }
+        if (parser.too_long())
+            co_return stream_cut(attempt, fail(result_code::answer_cut, "an event of the stream has no end"));
     }
     co_return stream_cut(attempt, fail(result_code::answer_cut, "the stream ended without its last event"));
 }
--- a/src/calls/event_parser.cpp
+++ b/src/calls/event_parser.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/calls/event_parser.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace hibiscuswall {
@@ -31,13 +32,15 @@
 
 auto event_parser::feed(std::string_view bytes) -> std::vector<stream_event>
 {
+    // The end of an event may lie across two pieces: one byte before the new ones counts, too.
+    auto const searched = buffer_.empty() ? 0 : buffer_.size() - 1;
     // Lines may end in "\r\n"; they are relayed as "\n".
     for (auto const c : bytes)
         if (c != '\r') buffer_ += c;
     auto events = std::vector<stream_event>{};
     auto start = std::size_t{0};
     while (true) {
-        auto const end = buffer_.find("\n\n", start);
+        auto const end = buffer_.find("\n\n", std::max(start, searched));
         if (end == std::string::npos) break;
         events.push_back(parse_event(buffer_.substr(start, end + 2 - start)));
         start = end + 2;
--- a/tests/integration/call_handler_test.cpp
+++ b/tests/integration/call_handler_test.cpp
@@ -77,7 +77,18 @@
     }
 };
 
-enum class behaviour { answer, cut_before_run, cut_after_run, refuse, wrong_id, hang, cut_stream };
+constexpr auto endless_limit = std::size_t{64} << 20U;
+
+enum class behaviour {
+    answer,
+    cut_before_run,
+    cut_after_run,
+    refuse,
+    wrong_id,
+    hang,
+    cut_stream,
+    endless_event
+};
 
 // An agent and its endpoint, with the behaviour of the next calls.
 struct played_agent {
@@ -91,6 +102,7 @@
     bool saw_disconnect = false;
     std::string version = "v1";
     std::string last_event_id;
+    std::size_t endless_bytes = 0; // of one event, taken by the entry
     std::unique_ptr<http_server> server;
 
     explicit played_agent(std::string given) : name{std::move(given)}
@@ -181,6 +193,13 @@
         auto fields = headers(id, "yes", result_code::ok);
         fields.set("Content-Type", "text/event-stream");
         co_await out.start(200, std::move(fields));
+        if (act == behaviour::endless_event) {
+            auto const piece = std::string(64 * 1024, 'x');
+            while (endless_bytes < endless_limit && co_await out.write(piece))
+                endless_bytes += piece.size();
+            out.abort();
+            co_return;
+        }
         for (auto event = after + 1; event <= 6; ++event) {
             if (act == behaviour::cut_stream && event == 4) {
                 // Half an event, as a killed process leaves it.
@@ -468,3 +487,12 @@
     auto const complete = text.find("event: done") != std::string::npos;
     CHECK(complete != (text.find("event: error") != std::string::npos));
 }
+
+// Guards against an entry whose memory grows with an event that an engine never ends.
+TEST(calls_stream, an_event_without_end_is_given_up)
+{
+    for (auto* agent : {&one, &two})
+        agent->plan = {behaviour::endless_event};
+    STRCMP_EQUAL(events("v1", "v1").c_str(), stream().c_str());
+    CHECK(one.endless_bytes + two.endless_bytes < endless_limit / 4);
+}
