--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a model engine (docs/platform.md). The text of each token names the prompt, the weights
 // version and the digest of the loaded bytes, so that a checker sees mixed or partial weights and answers of
 // another caller.
+#include "support/engine_records.hpp"
 #include "support/standin_program.hpp"
 #include "support/worker_slots.hpp"
 
@@ -23,36 +24,6 @@
 constexpr auto cached_prefill_share = 4;            // a cached prefix divides the prefill time by this
 constexpr auto weights_timeout = milliseconds{30'000};
 
-struct engine_settings {
-    milliseconds token_time{10};
-    milliseconds prefill_time{10};
-    milliseconds load_time{0};      // added to the reading of the weights
-    milliseconds cold_time{300};    // after which an engine that was turned cold warms up
-    milliseconds warm_time{10'000}; // after which a warming engine is ready at the latest
-    milliseconds load_report_lag{0};
-    int warm_requests = 8; // completed requests after which a warming engine is ready
-    int cold_limit = 1;    // requests at a time that a cold or warming engine can handle
-    std::size_t prefix_cache = 64;
-    bool enforces_fencing = true;
-};
-
-struct loaded_weights {
-    std::string model;
-    std::string adapter;
-    std::string version;
-    std::string manifest_digest; // as ordered
-    std::string content_sha256;  // of the bytes that were read
-};
-
-struct run_record {
-    std::string request_id;
-    std::string version;
-    std::string content_sha256;
-    int tokens = 0;
-    int resumed_after = 0; // Last-Event-ID
-    std::string state = "running";
-};
-
 class engine_standin {
 public:
     engine_standin(standin_program& program, engine_settings settings)
