Show the time line's processes as lanes on the HTML page

Cause: the page was a table of all events; which process did what when could not be seen at a glance. Change: a lane with a dot for each event of each process, placed by rank in causal order since clocks differ; a click marks the row, the filter dims the other dots and counts what it shows. Page and text are separate files. Measured: viewed in Chromium (headless, a deployment of five processes, 68 events): lanes, names, colours and the event count appear. Clicking was not tried. Unit tests: timeline_views, 3 pass.

--- a/include/hibiscuswall/api/ctl_timeline.hpp
+++ b/include/hibiscuswall/api/ctl_timeline.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// The merged time line as text and as one self-contained HTML page.
+// The merged time line as text. As a page: timeline_page.hpp.
 //
 //   std::cout << timeline_text(body);     // body of GET /v1/timeline
 
@@ -11,7 +11,4 @@
 
 [[nodiscard]] auto timeline_text(nlohmann::json const& body) -> std::string;
 
-// Loads nothing from elsewhere; a filter field narrows the events.
-[[nodiscard]] auto timeline_html(nlohmann::json const& body) -> std::string;
-
 } // namespace hibiscuswall
--- a/src/api/ctl_commands.cpp
+++ b/src/api/ctl_commands.cpp
@@ -4,6 +4,7 @@
 #include "hibiscuswall/api/ctl_output.hpp"
 #include "hibiscuswall/api/ctl_session.hpp"
 #include "hibiscuswall/api/ctl_timeline.hpp"
+#include "hibiscuswall/api/timeline_page.hpp"
 #include "hibiscuswall/config/config_document.hpp"
 #include "hibiscuswall/daemon/daemon_options.hpp"
 
@@ -185,7 +186,7 @@
     auto const answer = session.get(target);
     if (!answer) return report(answer.error());
     if (options.output == "html")
-        std::cout << timeline_html(answer.value());
+        std::cout << timeline_page(answer.value());
     else if (options.output == "json")
         std::cout << answer.value().dump(2) << '\n';
     else
