--- a/tools/measures/lib_load.py
+++ b/tools/measures/lib_load.py
@@ -1,7 +1,9 @@
 """Open-loop load from several processes: requests leave at their time whether or not earlier ones were answered.
 
     streams = [Stream("status", rate=10, targets=["127.0.0.1:8080"], method="GET", path="/v1/services/s/status")]
-    samples = run(streams, seconds=5, seed=1)     # [Sample(stream, sent, seconds, status, code)]
+    samples = run(streams, seconds=5, seed=1)     # [Sample(stream, sent, seconds, status, code, late)]
+
+late is how long after its due time a request left; a request whose caller would have given up by then is not sent.
 """
 import collections
 import concurrent.futures
@@ -12,7 +14,7 @@
 
 from lib_deployment import request
 
-Sample = collections.namedtuple("Sample", "stream sent seconds status code")
+Sample = collections.namedtuple("Sample", "stream sent seconds status code late")
 Stream = collections.namedtuple("Stream", "name rate targets method path body headers timeout")
 PROCESSES = 4
 THREADS = 96
@@ -20,17 +22,20 @@
 
 def one(stream, target, serial, due):
     began = time.time()
+    late = began - due
+    if late > stream.timeout:
+        return Sample(stream.name, began, late, 0, 0, late)
     path = stream.path.replace("{n}", str(serial))
     try:
         status, _, text = request(target, stream.method, path, stream.body, stream.headers, stream.timeout)
     except OSError:
-        return Sample(stream.name, began, time.time() - due, 0, 0)
+        return Sample(stream.name, began, time.time() - due, 0, 0, late)
     try:
         code = json.loads(text).get("code", 0) if status != 200 else 0
     except (ValueError, AttributeError):
         code = 0
     # From when it was due: a late generator must not hide waiting.
-    return Sample(stream.name, began, time.time() - due, status, code)
+    return Sample(stream.name, began, time.time() - due, status, code, late)
 
 
 def worker(streams, begin, seconds, seed, part, results):
