--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -57,7 +57,7 @@
         ++writes[key];
         auto const made = revision;
         if (after_write) after_write(key);
-        if (key == "config/root" && lose_answers > 0) {
+        if (key == loses && lose_answers > 0) {
             --lose_answers;
             out.abort();
             co_return;
@@ -116,7 +116,8 @@
     std::map<std::string, int> calls;  // by method
     std::uint64_t revision = 0;
     bool down = false;
-    int lose_answers = 0; // of writes of the root
+    std::string loses = "config/root"; // key whose answers are lost
+    int lose_answers = 0;
     std::function<void(std::string const&)> before_write;
     std::function<void(std::string const&)> after_write;
     http_router routes;
--- a/tools/measures/lib_load.py
+++ b/tools/measures/lib_load.py
@@ -3,7 +3,7 @@
     streams = [Stream("status", rate=10, targets=["127.0.0.1:8080"], method="GET", path="/v1/services/s/status")]
     samples = run(streams, seconds=5, seed=1)     # [Sample(stream, sent, seconds, status, code, late)]
 
-late is how long after its due time a request left; a request whose caller would have given up by then is not sent.
+headers may be a function of the request's serial text. late is how long after its due time a request left; a request whose caller would have given up by then is not sent.
 """
 import collections
 import concurrent.futures
@@ -26,8 +26,9 @@
     if late > stream.timeout:
         return Sample(stream.name, began, late, 0, 0, late)
     path = stream.path.replace("{n}", str(serial))
+    headers = stream.headers(serial) if callable(stream.headers) else stream.headers
     try:
-        status, _, text = request(target, stream.method, path, stream.body, stream.headers, stream.timeout)
+        status, _, text = request(target, stream.method, path, stream.body, headers, stream.timeout)
     except OSError:
         return Sample(stream.name, began, time.time() - due, 0, 0, late)
     try:
