--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -162,16 +162,17 @@
                 finish();
                 co_return std::optional<std::string>{};
             }
-            auto piece = std::string(piece_bytes, '\0');
-            parser_.get().body().data = piece.data();
-            parser_.get().body().size = piece.size();
+            // Not zeroed: a stream reads a few bytes for each event.
+            auto const piece = std::make_unique_for_overwrite<char[]>(piece_bytes);
+            parser_.get().body().data = piece.get();
+            parser_.get().body().size = piece_bytes;
             set_expiry();
             auto [code, size] = co_await http::async_read_some(connection_->stream, connection_->buffer,
                                                                parser_, awaitable_tuple);
             client_->received += size;
             if (code && code != http::error::need_buffer) co_return transport_error(code, where_);
-            piece.resize(piece.size() - parser_.get().body().size);
-            if (!piece.empty()) co_return std::optional{std::move(piece)};
+            auto const filled = piece_bytes - parser_.get().body().size;
+            if (filled > 0) co_return std::optional{std::string(piece.get(), filled)};
         }
     }
 
