Compare header names without a locale

Cause: callgrind on the entry, 1,500 requests of the hot path: 53 % of all instructions were in std::use_facet<std::ctype<char>>, called for each character by boost::iequals in http_headers::find and set (the largest cost; the next ones are Asio's and Beast's reading and writing).

Change: boost::beast::iequals, which compares ASCII and the length first.

--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -1,6 +1,6 @@
 #include "hibiscuswall/http/http_message.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <cctype>
@@ -9,11 +9,12 @@
 namespace hibiscuswall {
 namespace {
 
+// Header names are ASCII: a comparison by locale took half of a request's instructions.
 template<class List>
 auto find_header(List& list, std::string_view name)
 {
     return std::find_if(list.begin(), list.end(),
-                        [&](auto const& header) { return boost::iequals(header.name, name); });
+                        [&](auto const& header) { return boost::beast::iequals(header.name, name); });
 }
 
 // The raw value of a query key, or nothing.
