Draw a chunk again when its only known holder is avoided or unreachable

Cause: a chunk counted as held by a peer that stalled, sent bad bytes or could not be reached. Nobody drew it until the peer's time of avoidance was over, and then the same peer was asked again.

Change: the holder counts leave out peers that cannot be asked now; the next host in the chunk's rank order draws it.

--- a/include/hibiscuswall/weights/chunk_plan.hpp
+++ b/include/hibiscuswall/weights/chunk_plan.hpp
@@ -90,6 +90,7 @@
         bool live = false;
         bool heard = false;
         bool unreachable = false;
+        bool counted = false; // its chunks are in the holder counts
         time_point last_heard;
         time_point last_progress;
         time_point ask_after;   // busy until
@@ -98,7 +99,7 @@
     struct chunk_state {
         std::string digest;
         std::vector<std::string> rank; // first hosts by rendezvous hashing
-        std::size_t holders = 0;       // live peers known to hold it
+        std::size_t holders = 0;       // peers known to hold it that may be asked
         bool held = false;
         bool busy = false; // in flight or being verified
     };
@@ -108,7 +109,7 @@
     [[nodiscard]] auto usable(peer_state const& peer, time_point now) const -> bool;
     auto next_draw(time_point now, random_source& random) -> std::optional<chunk_fetch>;
     auto next_from_peer(time_point now, random_source& random) -> std::optional<chunk_fetch>;
-    auto count_holders() -> void;
+    auto count_holders(time_point now) -> void;
 
     std::string self_;
     chunk_plan_settings settings_;
--- a/src/weights/chunk_plan.cpp
+++ b/src/weights/chunk_plan.cpp
@@ -43,16 +43,23 @@
         chunk.rank = rendezvous_rank(chunk.digest, hosts_);
         chunk.rank.resize(std::min(chunk.rank.size(), ranked_hosts));
     }
-    count_holders();
+    count_holders(now);
 }
 
-auto chunk_plan::count_holders() -> void
+// A chunk that only unreachable or avoided peers hold counts as held by nobody: the next host in its rank
+// order draws it again.
+auto chunk_plan::count_holders(time_point now) -> void
 {
-    for (auto& chunk : chunks_)
-        chunk.holders = 0;
-    for (auto const& [name, peer] : peers_)
-        for (auto i = std::size_t{0}; peer.live && i < chunks_.size(); ++i)
-            chunks_[i].holders += peer.has[i] ? 1 : 0;
+    for (auto& [name, peer] : peers_) {
+        auto const counts = peer.live && !peer.unreachable && peer.avoid_until <= now;
+        if (counts == peer.counted) continue;
+        peer.counted = counts;
+        for (auto i = std::size_t{0}; i < chunks_.size(); ++i) {
+            if (!peer.has[i]) continue;
+            chunks_[i].holders += counts ? 1 : 0;
+            chunks_[i].holders -= counts ? 0 : 1;
+        }
+    }
 }
 
 auto chunk_plan::peer_has(std::string_view name, std::vector<bool> const& chunks, time_point now) -> void
@@ -66,7 +73,7 @@
         count += has ? 1 : 0;
         if (has == peer.has[i]) continue;
         peer.has[i] = has;
-        if (!peer.live) continue;
+        if (!peer.counted) continue;
         chunks_[i].holders += has ? 1 : 0;
         chunks_[i].holders -= has ? 0 : 1;
     }
@@ -114,6 +121,7 @@
 
 auto chunk_plan::next(time_point now, random_source& random) -> std::optional<chunk_fetch>
 {
+    count_holders(now);
     if (draws_ < settings_.draws && source_until_ <= now)
         if (auto draw = next_draw(now, random)) return draw;
     if (in_flight_ - draws_ >= settings_.fetches) return std::nullopt;
@@ -206,7 +214,7 @@
         if (peer.has[fetch.chunk]) {
             peer.has[fetch.chunk] = false;
             --peer.has_count;
-            if (peer.live) --chunks_[fetch.chunk].holders;
+            if (peer.counted) --chunks_[fetch.chunk].holders;
         }
         break;
     case fetch_failure::unreachable:
--- a/tests/unit/weights_plan_test.cpp
+++ b/tests/unit/weights_plan_test.cpp
@@ -133,6 +133,37 @@
     }
 }
 
+// Guards against a transfer that never ends because the only known holder of a chunk is avoided or cannot be
+// reached: the chunk counted as held, so that no follower drew it.
+TEST(chunk_plan, a_chunk_that_only_an_avoided_or_unreachable_peer_holds_is_drawn_again)
+{
+    auto plan = plan_of(ranked(1));
+    plan.peer_has(ranked(0), {true}, now);
+    auto const fetch = plan.next(now, random);
+    STRCMP_EQUAL(ranked(0).c_str(), fetch->peer.c_str());
+    plan.ended(*fetch);
+    plan.failed(*fetch, fetch_failure::corrupt, now);
+    CHECK(plan.next(now, random)->from_source());
+
+    auto other = plan_of(ranked(1));
+    other.peer_has(ranked(0), {true}, now);
+    other.peer_unreachable(ranked(0), now);
+    CHECK(other.next(now, random)->from_source());
+}
+
+// Guards against a peer that stays forgotten after its time of avoidance.
+TEST(chunk_plan, the_chunks_of_an_avoided_peer_count_again_after_its_time)
+{
+    auto plan = plan_of(ranked(3));
+    plan.peer_has(ranked(0), {true}, now);
+    auto const fetch = plan.next(now, random);
+    plan.ended(*fetch);
+    plan.failed(*fetch, fetch_failure::stalled, now);
+    CHECK(!plan.next(now, random).has_value());
+    now += settings.avoid_time;
+    STRCMP_EQUAL(ranked(0).c_str(), plan.next(now, random)->peer.c_str());
+}
+
 TEST(chunk_plan, a_busy_peer_is_asked_again_after_a_pause)
 {
     auto plan = plan_of(ranked(3));
