Judge a sender by its progress, not by the time of a single read

Cause: a sender that delivered a byte now and then kept every read within its timeout and was given up only after five progress deadlines; the wait for this host's own link counted against the sender.

Change: progress_watch asks for a fifth of the chunk in each progress deadline and leaves out the time in which this side waited. A decision with made-up times; the read's timeout still ends a sender that delivers nothing.

Conclusion: a stall is met by a progress deadline in both forms.

--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -3,6 +3,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/weights/chunk_bitmap.hpp"
+#include "hibiscuswall/weights/progress_watch.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -18,7 +19,6 @@
 constexpr auto survey_peers = std::size_t{16};   // asked before the first draw, so that a restarted host
                                                  // does not draw what its region already holds
 constexpr auto survey_time = milliseconds{500};  // longest wait for their answers
-constexpr auto whole_deadlines = 5;              // a chunk takes at most this many progress deadlines
 
 auto failure_name(fetch_failure why) -> std::string_view
 {
@@ -246,15 +246,18 @@
 {
     auto bytes = std::make_shared<std::string>();
     bytes->reserve(size);
-    auto const until = clock::now() + whole_deadlines * parts_.settings.plan.progress_deadline;
+    auto watch = progress_watch{size, parts_.settings.plan.progress_deadline, clock::now()};
     while (true) {
         auto piece = co_await stream->read();
         if (!piece) co_return to_failure(piece.error());
         if (!piece.value()) co_return chunk_bytes{std::move(bytes)};
         if (bytes->size() + piece.value()->size() > size) co_return fetch_failure::corrupt;
         *bytes += *piece.value();
+        watch.gained(piece.value()->size(), clock::now());
+        if (watch.is_stalled()) co_return fetch_failure::stalled;
+        auto const arrived = clock::now();
         co_await parts_.download.bulk(piece.value()->size());
-        if (clock::now() > until) co_return fetch_failure::stalled;
+        watch.held_up(clock::now() - arrived);
     }
 }
 
--- a/tests/unit/weights_test.cpp
+++ b/tests/unit/weights_test.cpp
@@ -5,6 +5,7 @@
 #include "hibiscuswall/weights/chunk_bitmap.hpp"
 #include "hibiscuswall/weights/chunk_store.hpp"
 #include "hibiscuswall/weights/link_budget.hpp"
+#include "hibiscuswall/weights/progress_watch.hpp"
 #include "hibiscuswall/weights/rollout.hpp"
 
 #include <nlohmann/json.hpp>
@@ -132,6 +133,24 @@
     CHECK(bucket.wait(now + milliseconds{500}) == clock::duration::zero());
 }
 
+// Guards against a sender that delivers a byte now and then: no single read of it times out.
+TEST(weights_link, a_trickle_is_a_stall_but_time_spent_on_the_own_link_is_not)
+{
+    auto const deadline = milliseconds{2'000};
+    auto trickle = progress_watch{1'000, deadline, now};
+    trickle.gained(1, now + milliseconds{1'900});
+    CHECK(!trickle.is_stalled());
+    trickle.gained(1, now + milliseconds{3'800});
+    CHECK(trickle.is_stalled());
+
+    auto slow = progress_watch{1'000, deadline, now};
+    slow.gained(1, now + milliseconds{100});
+    slow.held_up(seconds{60});
+    slow.gained(200, now + seconds{61});
+    slow.gained(200, now + seconds{62} + milliseconds{100});
+    CHECK(!slow.is_stalled());
+}
+
 TEST_GROUP(weights_rollout)
 {
     std::string first = "a";
