Ask a source that stalled or sent bad bytes after the others

Cause: after a stalled or corrupt chunk the same source was asked again within 30 ms, for ever: a weight store with bad bytes kept the origin from being asked. A source that answered 404 was asked in a tight loop. The log named no source.

Change: a source without an answer, with a stalled or a corrupt chunk is asked after the others for 30 s; draws pause for 200 ms. The log line and the event name the source and the reason. An answer that is not HTTP counts as corrupt.

--- a/include/hibiscuswall/platform/weight_source_client.hpp
+++ b/include/hibiscuswall/platform/weight_source_client.hpp
@@ -3,10 +3,12 @@
 //
 //   auto source = weight_source_client{client, {store, origin}, milliseconds{1000}};
 //   auto text = co_await source.manifest("m", "v1");
-//   auto opened = co_await source.open_chunk(digest, size);
+//   auto opened = co_await source.open_chunk(digest, size, timeout);
+//   source.doubt(opened.value().from, now);            // what it sent was stalled or did not match
 //
-// Sources are tried in order. One that asked to wait (429) is left out until its Retry-After has passed;
-// when all are waiting, the error is chunk_unavailable and available_at() tells when to come back.
+// Sources are tried in order, those in doubt (no answer, stalled, corrupt) after the others. One that asked
+// to wait (429) is left out until its Retry-After has passed; when all are waiting, the error is
+// chunk_unavailable and available_at() tells when to come back.
 
 #include "hibiscuswall/http/http_client.hpp"
 
@@ -15,6 +17,12 @@
 
 namespace hibiscuswall {
 
+// A chunk on its way from one source.
+struct source_stream {
+    address from;
+    std::unique_ptr<http_stream> stream;
+};
+
 class weight_source_client {
 public:
     weight_source_client(http_client& client, std::vector<address> sources, milliseconds timeout);
@@ -23,7 +31,10 @@
 
     // Streams the chunk; timeout is that of each piece.
     auto open_chunk(std::string digest, std::uint64_t size, milliseconds timeout)
-        -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
+        -> asio::awaitable<result<source_stream>>;
+
+    // The source is asked after the others for a while.
+    auto doubt(address const& from, time_point now) -> void;
 
     // When the first source may be asked again.
     [[nodiscard]] auto available_at() const -> time_point;
@@ -31,11 +42,12 @@
 private:
     struct source {
         address where;
-        time_point wait_until;
+        time_point wait_until;  // not asked before
+        time_point doubt_until; // asked after the others before
     };
 
-    auto open(http_request request, milliseconds timeout)
-        -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
+    auto open(http_request request, milliseconds timeout) -> asio::awaitable<result<source_stream>>;
+    [[nodiscard]] auto in_order(time_point now) const -> std::vector<std::size_t>;
 
     http_client& client_;
     std::vector<source> sources_;
--- a/include/hibiscuswall/weights/transfer.hpp
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -56,10 +56,10 @@
     auto poll(std::string name) -> asio::awaitable<void>;
     auto survey() -> asio::awaitable<void>;
     auto fetch(chunk_fetch what) -> asio::awaitable<void>;
-    auto from_source(std::size_t chunk) -> asio::awaitable<fetched>;
+    auto from_source(std::size_t chunk, address& sender) -> asio::awaitable<fetched>;
     auto from_peer(std::size_t chunk, std::string name) -> asio::awaitable<fetched>;
     auto read_chunk(std::unique_ptr<http_stream> stream, std::uint64_t size) -> asio::awaitable<fetched>;
-    auto note_failure(chunk_fetch const& what, fetch_failure why) -> void;
+    auto note_failure(chunk_fetch const& what, fetch_failure why, address const& source) -> void;
     auto verify_whole() -> asio::awaitable<bool>;
     auto wait(milliseconds longest) -> asio::awaitable<void>;
     auto wake() -> void { woken_.cancel(); }
--- a/src/platform/weight_source_client.cpp
+++ b/src/platform/weight_source_client.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
+#include <numeric>
 
 namespace hibiscuswall {
 namespace {
@@ -11,6 +12,7 @@
 constexpr auto shortest_wait = milliseconds{10};
 constexpr auto default_wait = milliseconds{1'000}; // 429 without Retry-After
 constexpr auto failure_wait = milliseconds{500};   // source without an answer, or with an error status
+constexpr auto doubt_time = seconds{30};           // a source that failed is asked after the others
 
 // Retry-After in seconds; a fraction is accepted.
 auto retry_after(http_headers const& headers) -> milliseconds
@@ -30,7 +32,7 @@
     : client_{client}, timeout_{timeout}
 {
     for (auto& where : sources)
-        if (!where.empty()) sources_.push_back({std::move(where), {}});
+        if (!where.empty()) sources_.push_back({std::move(where), {}, {}});
 }
 
 auto weight_source_client::available_at() const -> time_point
@@ -42,23 +44,42 @@
     return first == sources_.end() ? time_point::max() : first->wait_until;
 }
 
+auto weight_source_client::doubt(address const& from, time_point now) -> void
+{
+    for (auto& each : sources_)
+        if (each.where == from) each.doubt_until = now + doubt_time;
+}
+
+auto weight_source_client::in_order(time_point now) const -> std::vector<std::size_t>
+{
+    auto order = std::vector<std::size_t>(sources_.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_partition(order.begin(), order.end(),
+                          [&](std::size_t i) { return sources_[i].doubt_until <= now; });
+    return order;
+}
+
 auto weight_source_client::open(http_request request, milliseconds timeout)
-    -> asio::awaitable<result<std::unique_ptr<http_stream>>>
+    -> asio::awaitable<result<source_stream>>
 {
     auto last = fail(result_code::chunk_unavailable, "no source can be asked now: " + request.target);
     auto options = http_call_options{};
     options.connect_timeout = timeout_;
     options.timeout = timeout;
-    for (auto i = std::size_t{0}; i < sources_.size(); ++i) {
+    for (auto const i : in_order(clock::now())) {
         if (sources_[i].wait_until > clock::now()) continue;
         auto opened = co_await client_.open(sources_[i].where, request, options);
         if (!opened) {
             sources_[i].wait_until = clock::now() + failure_wait;
+            doubt(sources_[i].where, clock::now());
             last = opened.error();
             continue;
         }
         auto const status = opened.value()->status();
-        if (status == 200 || status == 206) co_return std::move(opened).value();
+        if (status == 200 || status == 206) {
+            auto found = source_stream{sources_[i].where, std::move(opened).value()};
+            co_return found;
+        }
         last = fail(result_code::chunk_unavailable,
                     sources_[i].where.text() + request.target + ": status " + std::to_string(status));
         if (status == 429 || status == 503)
@@ -76,11 +97,11 @@
     request.target = "/v1/models/" + percent_encode(model) + "/" + percent_encode(version) + "/manifest";
     auto opened = co_await open(std::move(request), timeout_);
     if (!opened) co_return opened.error();
-    co_return co_await opened.value()->read_all();
+    co_return co_await opened.value().stream->read_all();
 }
 
 auto weight_source_client::open_chunk(std::string digest, std::uint64_t size, milliseconds timeout)
-    -> asio::awaitable<result<std::unique_ptr<http_stream>>>
+    -> asio::awaitable<result<source_stream>>
 {
     auto request = http_request{};
     request.target = "/v1/blobs/" + digest;
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -10,11 +10,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace hibiscuswall {
 namespace {
 
 constexpr auto loop_pause = milliseconds{20};    // until a busy peer or a waiting source is looked at again
 constexpr auto gather_pause = milliseconds{4};   // events within it share one run of the chunk plan
+constexpr auto source_pause = milliseconds{200}; // after a bad or stalled chunk from a source
 constexpr auto hosts_period = milliseconds{500}; // between looks at the member table
 constexpr auto survey_peers = std::size_t{16};   // asked before the first draw, so that a restarted host
                                                  // does not draw what its region already holds
@@ -41,9 +44,10 @@
 
 auto to_failure(error const& problem) -> fetch_failure
 {
-    return problem.code == result_code::connect_failed || problem.code == result_code::connection_lost
-               ? fetch_failure::unreachable
-               : fetch_failure::stalled;
+    if (problem.code == result_code::connect_failed || problem.code == result_code::connection_lost)
+        return fetch_failure::unreachable;
+    // An answer that cannot be read as HTTP is a damaged one, too.
+    return problem.code == result_code::response_malformed ? fetch_failure::corrupt : fetch_failure::stalled;
 }
 
 } // namespace
@@ -165,14 +169,15 @@
     auto const self = shared_from_this();
     // No conditional expression around co_await: GCC 12 destroys its temporaries twice.
     auto got = fetched{fetch_failure::absent};
+    auto source = address{}; // the one that answered
     if (what.from_source())
-        got = co_await from_source(what.chunk);
+        got = co_await from_source(what.chunk, source);
     else
         got = co_await from_peer(what.chunk, what.peer);
     plan_.ended(what);
     wake();
     if (auto const* why = std::get_if<fetch_failure>(&got)) {
-        note_failure(what, *why);
+        note_failure(what, *why, source);
         co_return;
     }
     auto const bytes = std::get<chunk_bytes>(got);
@@ -181,7 +186,7 @@
     auto good = bytes->size() == entry.size;
     if (good) good = co_await parts_.digests.matches(std::move(parts), entry.sha256);
     if (!good) {
-        note_failure(what, fetch_failure::corrupt);
+        note_failure(what, fetch_failure::corrupt, source);
         wake();
         co_return;
     }
@@ -192,33 +197,39 @@
     wake();
 }
 
-auto transfer::note_failure(chunk_fetch const& what, fetch_failure why) -> void
+auto transfer::note_failure(chunk_fetch const& what, fetch_failure why, address const& source) -> void
 {
     plan_.failed(what, why, clock::now());
     parts_.context.measures.count("weights_fetch_failures", {{"reason", failure_name(why)}});
     if (why == fetch_failure::busy || why == fetch_failure::limited || why == fetch_failure::absent) return;
+    if (what.from_source()) {
+        parts_.source.doubt(source, clock::now());
+        plan_.pause_source(std::max(parts_.source.available_at(), clock::now() + source_pause));
+    }
+    auto const sender = what.from_source() ? "source " + source.text() : what.peer;
+    auto const reason = std::string{failure_name(why)};
+    auto const chunk = std::to_string(what.chunk);
     log_event(log_level::warning, "chunk_fetch_failed",
-              {{"version", version_->id()},
-               {"chunk", std::to_string(what.chunk)},
-               {"from", what.from_source() ? "source" : what.peer},
-               {"reason", std::string{failure_name(why)}}});
-    parts_.context.events.record("chunk_fetch_failed", {{"version", version_->id()},
-                                                        {"chunk", std::to_string(what.chunk)},
-                                                        {"from", what.from_source() ? "source" : what.peer},
-                                                        {"reason", std::string{failure_name(why)}}});
+              {{"version", version_->id()}, {"chunk", chunk}, {"from", sender}, {"reason", reason}});
+    parts_.context.events.record(
+        "chunk_fetch_failed",
+        {{"version", version_->id()}, {"chunk", chunk}, {"from", sender}, {"reason", reason}});
 }
 
-auto transfer::from_source(std::size_t chunk) -> asio::awaitable<fetched>
+auto transfer::from_source(std::size_t chunk, address& sender) -> asio::awaitable<fetched>
 {
     auto const entry = version_->chunks[chunk];
     auto opened =
         co_await parts_.source.open_chunk(entry.sha256, entry.size, parts_.settings.plan.progress_deadline);
     if (!opened) {
-        plan_.pause_source(parts_.source.available_at());
+        // A source that neither sends nor asks to wait (404) must not be asked in a tight loop.
+        auto const now = clock::now();
+        plan_.pause_source(std::max(parts_.source.available_at(), now + source_pause));
         co_return opened.error().code == result_code::chunk_unavailable ? fetch_failure::limited
                                                                         : to_failure(opened.error());
     }
-    co_return co_await read_chunk(std::move(opened).value(), entry.size);
+    sender = opened.value().from;
+    co_return co_await read_chunk(std::move(opened.value().stream), entry.size);
 }
 
 auto transfer::from_peer(std::size_t chunk, std::string name) -> asio::awaitable<fetched>
