Put a load off when the engine restarts during it

Cause: an engine that restarted while it loaded answered with an error or reported nothing; the version counted as failed and its rollout stopped on every host of the failure domain.

Change: the order compares the engine's instance before and after. The test of the failed load that cost the old weights now checks that both orders went out, v2 and then v1; it checked only that the gate stays closed, and still does.

Conclusion: one restarted engine no longer stops a rollout.

--- a/include/hibiscuswall/weights/activation.hpp
+++ b/include/hibiscuswall/weights/activation.hpp
@@ -4,7 +4,8 @@
 //   auto done = co_await activation.order(target, [&] { return generation == mine; });
 //   // errors: load_rejected                     the engine failed the load; the old weights are served again
 //   //         cancelled                         no longer wanted; nothing changed
-//   //         endpoint_draining, store_unavailable, configuration_unconfirmed     put off; try again
+//   //         endpoint_draining, endpoint_cold (the engine restarted during the load), store_unavailable,
+//   //         configuration_unconfirmed                                 put off; try again
 //
 // One order runs at a time. An order goes out only if no pause of this process lies between taking its
 // fencing number and sending it, and only under a confirmed configuration.
@@ -35,7 +36,8 @@
 
 private:
     auto send_order(served_weights target) -> asio::awaitable<result<void>>;
-    auto probe(served_weights target) -> asio::awaitable<result<void>>;
+    auto probe(served_weights target, std::string instance) -> asio::awaitable<result<void>>;
+    auto has_restarted(std::string instance) -> asio::awaitable<bool>;
     auto restore(std::optional<served_weights> previous) -> asio::awaitable<void>;
 
     process_context& context_;
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -13,6 +13,12 @@
 
 constexpr auto order_attempts = 4; // orders that a paused process or an old fencing number voided
 
+// A restart says nothing about the version: the order is put off, the version has not failed.
+auto restart_error() -> error
+{
+    return fail(result_code::endpoint_cold, "the engine restarted during the load");
+}
+
 } // namespace
 
 auto activation::reports(served_weights target) -> asio::awaitable<result<bool>>
@@ -24,12 +30,20 @@
         target.manifest_digest&& now.adapter == target.adapter;
 }
 
-auto activation::probe(served_weights target) -> asio::awaitable<result<void>>
+auto activation::has_restarted(std::string instance) -> asio::awaitable<bool>
+{
+    auto status = co_await engine_.status();
+    co_return status && !instance.empty() && status.value().instance != instance;
+}
+
+auto activation::probe(served_weights target, std::string instance) -> asio::awaitable<result<void>>
 {
     auto const until = clock::now() + settings_.load_timeout;
     while (clock::now() < until) {
         auto same = co_await reports(target);
         if (same && same.value()) co_return success();
+        auto const restarted = co_await has_restarted(instance);
+        if (restarted) co_return restart_error();
         co_await sleep_for(settings_.probe_period);
     }
     co_return fail(result_code::load_rejected, "the engine did not report " + target.manifest_digest);
@@ -38,6 +52,9 @@
 auto activation::send_order(served_weights target) -> asio::awaitable<result<void>>
 {
     auto last = fail(result_code::fencing_outdated, "no order was sent");
+    auto before = co_await engine_.status();
+    auto instance = std::string{};
+    if (before) instance = before.value().instance;
     for (auto i = 0; i < order_attempts; ++i) {
         auto const taken_at = clock::now();
         auto number = co_await next_fencing_number(store_, context_.self.name);
@@ -56,12 +73,16 @@
         context_.events.record("load_ordered",
                                {{"version", target.version}, {"fencing", std::to_string(number.value())}});
         auto loaded = co_await engine_.load(std::move(order));
-        if (loaded) co_return co_await probe(target);
+        if (loaded) co_return co_await probe(target, instance);
         last = loaded.error();
         if (last.code == result_code::fencing_outdated) continue;
-        if (last.code == result_code::load_rejected) co_return last;
+        if (last.code == result_code::load_rejected) {
+            auto const restarted = co_await has_restarted(instance);
+            if (restarted) last = restart_error();
+            co_return last;
+        }
         // The answer was lost: the status tells whether the order took effect.
-        co_return co_await probe(target);
+        co_return co_await probe(target, instance);
     }
     co_return last;
 }
--- a/tests/integration/weights_activation_test.cpp
+++ b/tests/integration/weights_activation_test.cpp
@@ -61,6 +61,9 @@
     std::uint64_t newest_fencing = 0;
     std::string refused_version;
     int orders = 0;
+    std::vector<std::string> ordered; // versions, in order
+    bool order_warms = false;         // an accepted order makes the engine ready
+    std::string restarts_at;          // version whose order finds the engine restarted
     std::string stored = "0";
     std::uint64_t stored_revision = 1;
 
@@ -99,12 +102,19 @@
     auto take_order(nlohmann::json const& order)->int
     {
         ++orders;
+        ordered.push_back(order.value("version", ""));
+        if (ordered.back() == restarts_at) {
+            restarts_at.clear();
+            loaded = {{"instance", "after"}, {"state", "cold"}};
+            return 500;
+        }
         auto const number = order.value("fencing", std::uint64_t{0});
         if (number <= newest_fencing) return 409;
         newest_fencing = number;
         if (order.value("version", "") == refused_version) return 500;
         loaded["version"] = order.value("version", "");
         loaded["manifest_digest"] = order.value("manifest_digest", "");
+        if (order_warms) loaded["state"] = "ready";
         return 200;
     }
 
@@ -150,9 +160,37 @@
     loaded["manifest_digest"] = "";
     auto const done = order();
     CHECK(!done);
+    CHECK_EQUAL(2U, ordered.size());
+    STRCMP_EQUAL("v2", ordered[0].c_str());
+    STRCMP_EQUAL("v1", ordered[1].c_str());
     CHECK(!gate.now.has_value()); // still cold: it may not serve
 }
 
+// Guards against an endpoint that stays closed although the engine took its old weights again.
+TEST(weights_activation, an_engine_that_took_its_old_weights_again_serves_them)
+{
+    refused_version = "v2";
+    order_warms = true;
+    loaded["state"] = "cold";
+    loaded["manifest_digest"] = "";
+    CHECK(!order());
+    CHECK_EQUAL(2U, ordered.size());
+    STRCMP_EQUAL("v1", ordered[1].c_str());
+    CHECK(gate.now == old_weights);
+}
+
+// Guards against a rollout that one restarted engine stops on every host: the version counted as failed.
+TEST(weights_activation, an_engine_that_restarts_during_a_load_puts_the_order_off)
+{
+    loaded["instance"] = "before";
+    restarts_at = "v2";
+    order_warms = true;
+    auto const done = order();
+    CHECK(!done && done.error().code == result_code::endpoint_cold);
+    CHECK(order().has_value());
+    CHECK(gate.now == new_weights);
+}
+
 // Guards against a cut answer: requests in flight keep their version.
 TEST(weights_activation, requests_that_do_not_drain_put_the_switch_off)
 {
