Let transfers yield to live requests on the host's link

Cause: nobody charged live requests to the link budget, so transfers filled a link with a rate and live requests waited in its queue.

Change: the request gate reports the bytes of each request and of each piece of an answer (on_live_bytes), the agent hands them to the weights service, which charges both directions of the link. A live byte counts twice, so that the queue of a full link drains; transfers keep at least a quarter of the rate, so that chunks that only this host holds still reach its region; the debt is at most one second of the rate.

--- a/include/hibiscuswall/calls/request_gate.hpp
+++ b/include/hibiscuswall/calls/request_gate.hpp
@@ -4,6 +4,7 @@
 //
 //   auto gate = request_gate{context, config, endpoint, admission};
 //   gate.on_engine_changed([&](engine_change const& what) { ...order the weights again... });
+//   gate.on_live_bytes([&](live_bytes const& moved) { ...charge the host's link... });
 //   gate.start();
 //   gate.begin_leaving();                        // no new work; then wait until in_flight() is 0
 //
@@ -18,6 +19,7 @@
 #include "hibiscuswall/lifecycle/endpoint_settings.hpp"
 #include "hibiscuswall/platform/engine_client.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -29,6 +31,12 @@
     engine_status status;      // as read
 };
 
+// What live requests moved over this host's link, in bytes of the bodies.
+struct live_bytes {
+    std::uint64_t received = 0; // from entries
+    std::uint64_t sent = 0;     // to entries
+};
+
 class request_gate final : public endpoint_control {
 public:
     request_gate(process_context& context, config_source& config, endpoint_settings endpoint,
@@ -42,6 +50,9 @@
     // Called on the network thread, after admission was closed.
     auto on_engine_changed(std::function<void(engine_change const&)> callback) -> void;
 
+    // Called on the network thread for each request and for each piece of an answer, before it is sent.
+    auto on_live_bytes(std::function<void(live_bytes const&)> callback) -> void;
+
     // ---- graceful stop
     auto begin_leaving() -> void;
     [[nodiscard]] auto in_flight() const -> std::size_t;
--- a/include/hibiscuswall/weights/link_budget.hpp
+++ b/include/hibiscuswall/weights/link_budget.hpp
@@ -26,6 +26,14 @@
     // Takes the bytes, into debt if need be.
     auto take(std::uint64_t bytes, time_point now) -> void;
 
+    // The same for live requests, which weigh more and leave a bounded debt.
+    auto take_live(std::uint64_t bytes, time_point now) -> void;
+
+    auto limit_debt() -> void;
+
+    // Longest wait of a piece of weights for live requests: it keeps a quarter of the rate.
+    [[nodiscard]] auto longest_wait(std::uint64_t bytes) const -> clock::duration;
+
     // How long until the bucket is out of debt; zero when it is.
     [[nodiscard]] auto wait(time_point now) -> clock::duration;
 
@@ -55,6 +63,7 @@
     std::uint64_t serving_ = 0;
     boost::asio::steady_timer turn_; // cancelled when the next ticket may go
     bool limited_ = false;
+    bool yields_ = false; // live requests use this link
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/weights/weights_service.hpp
+++ b/include/hibiscuswall/weights/weights_service.hpp
@@ -37,9 +37,8 @@
 
     auto start() -> void;
 
-    // Both directions of this host's link, for whoever moves live requests over it.
-    [[nodiscard]] auto upload() -> link_budget& { return upload_; }
-    [[nodiscard]] auto download() -> link_budget& { return download_; }
+    // Live requests moved these bytes over this host's link: transfers wait for them.
+    auto charge_live(std::uint64_t received, std::uint64_t sent) -> void;
 
     // Progress of each version on this host, the result of weights.status.
     [[nodiscard]] auto status() const -> nlohmann::json;
--- a/src/calls/forward_call.cpp
+++ b/src/calls/forward_call.cpp
@@ -185,6 +185,7 @@
         co_return outcome_of_failure(call, fail(result_code::response_malformed, reason), sample);
     auto const type = std::string{answer.headers().find("Content-Type")};
     if (!call.idempotent) registry.answered(call.call_id, kept_answer{answer.status(), type, body.value()});
+    charge_link({0, body.value().size()});
     auto response = http_response{answer.status(), std::move(headers), std::move(body).value()};
     co_await out.send(std::move(response));
     co_return call_outcome{result_code::ok, ran::yes, {}, sample, true};
@@ -209,6 +210,7 @@
             co_return outcome;
         }
         if (!piece.value()) break;
+        charge_link({0, piece.value()->size()});
         auto const written = co_await out.write(*piece.value());
         if (!written && call.idempotent) {
             answer.cancel();
--- a/src/calls/gate_state.hpp
+++ b/src/calls/gate_state.hpp
@@ -64,6 +64,10 @@
     auto move(endpoint_event event) -> void;
     auto finish_call(std::uint64_t id, run_sample sample) -> void;
     auto weight_of(std::string const& account) const -> double;
+    auto charge_link(live_bytes const& moved) const -> void
+    {
+        if (link_charged) link_charged(moved);
+    }
 
     // ---- gate_rpc.cpp
     auto resolve(nlohmann::json const& params) -> result<nlohmann::json>;
@@ -110,6 +114,7 @@
     std::string instance;                            // engine instance of the last status; empty: unknown
     engine_state reported = engine_state::ready;     // by the last status
     std::function<void(engine_change const&)> engine_changed;
+    std::function<void(live_bytes const&)> link_charged;
 
     std::map<std::uint64_t, std::shared_ptr<waiting_call>> waiting;
     std::uint64_t next_id = 1;
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -63,6 +63,7 @@
 auto request_gate::state::handle(http_request const& request, http_responder& out) -> asio::awaitable<void>
 {
     auto self = shared_from_this();
+    charge_link({request.body.size(), 0});
     auto read = read_forward_request(request, clock::now(), endpoint.default_deadline);
     auto const call_id = std::string{request.headers.find("Hw-Call-Id")};
     if (!read) {
@@ -330,6 +331,11 @@
     state_->engine_changed = std::move(callback);
 }
 
+auto request_gate::on_live_bytes(std::function<void(live_bytes const&)> callback) -> void
+{
+    state_->link_charged = std::move(callback);
+}
+
 auto request_gate::begin_leaving() -> void
 {
     if (state_->leaving) return;
--- a/src/daemon/agent_daemon.cpp
+++ b/src/daemon/agent_daemon.cpp
@@ -109,6 +109,8 @@
     modules.base.ready_when(
         [&] { return modules.config.current() != nullptr && modules.gate.serving().has_value(); });
     modules.base.on_stop([&] { return modules.drain(); });
+    modules.gate.on_live_bytes(
+        [&](live_bytes const& moved) { modules.weights.charge_live(moved.received, moved.sent); });
     modules.config.start();
     modules.gossip.start();
     modules.gate.start();
--- a/src/weights/link_budget.cpp
+++ b/src/weights/link_budget.cpp
@@ -6,6 +6,16 @@
 #include <algorithm>
 
 namespace hibiscuswall {
+namespace {
+
+// Bytes that transfers give up for each live byte. With one for one the link stays full and live requests
+// wait in its queue; with two it drains while there is live traffic.
+constexpr auto live_weight = std::uint64_t{2};
+// Transfers keep this part of the link, so that chunks that only this host holds still reach its region.
+constexpr auto least_bulk_share = 0.25;
+constexpr auto longest_debt = 1.0; // seconds of the rate that live requests can make transfers owe
+
+} // namespace
 
 token_bucket::token_bucket(std::uint64_t rate, std::uint64_t burst, time_point now)
     : rate_{static_cast<double>(rate)}, burst_{static_cast<double>(burst)}, level_{burst_}, last_{now}
@@ -25,6 +35,22 @@
     level_ -= static_cast<double>(bytes);
 }
 
+auto token_bucket::take_live(std::uint64_t bytes, time_point now) -> void
+{
+    refill(now);
+    level_ -= static_cast<double>(live_weight * bytes);
+    limit_debt();
+}
+
+auto token_bucket::limit_debt() -> void { level_ = std::max(level_, -longest_debt * rate_); }
+
+auto token_bucket::longest_wait(std::uint64_t bytes) const -> clock::duration
+{
+    if (rate_ <= 0) return clock::duration::zero();
+    return std::chrono::duration_cast<clock::duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) / (least_bulk_share * rate_)));
+}
+
 auto token_bucket::wait(time_point now) -> clock::duration
 {
     refill(now);
@@ -39,7 +65,9 @@
 
 auto link_budget::live(std::uint64_t bytes) -> void
 {
-    if (limited_) bucket_.take(bytes, clock::now());
+    if (!limited_) return;
+    yields_ = true;
+    bucket_.take_live(bytes, clock::now());
 }
 
 auto link_budget::bulk(std::uint64_t bytes) -> boost::asio::awaitable<void>
@@ -52,12 +80,15 @@
         co_await turn_.async_wait(awaitable_tuple);
     auto timer = boost::asio::steady_timer{io_};
     // Live requests may deepen the debt while this waits.
-    for (auto left = bucket_.wait(clock::now()); left > clock::duration::zero();
-         left = bucket_.wait(clock::now())) {
-        timer.expires_after(left);
+    auto const latest = yields_ ? clock::now() + bucket_.longest_wait(bytes) : time_point::max();
+    for (auto now = clock::now(); now < latest; now = clock::now()) {
+        auto const left = bucket_.wait(now);
+        if (left <= clock::duration::zero()) break;
+        timer.expires_at(std::min(now + left, latest));
         co_await timer.async_wait(awaitable_tuple);
     }
     bucket_.take(bytes, clock::now());
+    if (yields_) bucket_.limit_debt();
     ++serving_;
     turn_.cancel();
 }
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -56,6 +56,12 @@
     if (auto const view = config_.current()) on_config(*view);
 }
 
+auto weights_service::charge_live(std::uint64_t received, std::uint64_t sent) -> void
+{
+    download_.live(received);
+    upload_.live(sent);
+}
+
 auto weights_service::on_config(config_view const& view) -> void
 {
     auto const* serving = view.serving_of_service(context_.self.service, context_.self.failure_domain);
--- a/tests/programs/weights_host.cpp
+++ b/tests/programs/weights_host.cpp
@@ -79,6 +79,7 @@
     auto const engine = reader.endpoint_address("engine");
     auto const platform = read_platform_settings(reader.child("platform"));
     auto const weights = read_weights_settings(reader.child("weights"));
+    auto const charges_live = reader.boolean("charge_live", true); // false: the measure's baseline
     if (!errors.empty()) {
         std::cerr << errors.front() << "\n";
         return exit_usage;
@@ -106,6 +107,8 @@
                             config.declare(nlohmann::json::parse(request.body), self.failure_domain);
                             co_await out.send({200, {}, "declared\n"});
                         });
+    if (charges_live)
+        gate.on_live_bytes([&](live_bytes const& moved) { service.charge_live(moved.received, moved.sent); });
     gate.start();
     service.start();
     auto const bound = base.listen_control(self.control, {});
--- a/tests/unit/weights_test.cpp
+++ b/tests/unit/weights_test.cpp
@@ -133,6 +133,17 @@
     CHECK(bucket.wait(now + milliseconds{500}) == clock::duration::zero());
 }
 
+// Guards against weights that never arrive because live requests keep the link full.
+TEST(weights_link, live_bytes_weigh_double_but_leave_weights_a_quarter_of_the_link)
+{
+    auto link = token_bucket{1'000, 0, now};
+    link.take_live(100, now);
+    CHECK(link.wait(now) == milliseconds{200});
+    link.take_live(1'000'000, now);
+    CHECK(link.wait(now) == seconds{1});
+    CHECK(link.longest_wait(100) == milliseconds{400});
+}
+
 // Guards against a sender that delivers a byte now and then: no single read of it times out.
 TEST(weights_link, a_trickle_is_a_stall_but_time_spent_on_the_own_link_is_not)
 {
