Add a source IP for outgoing connections and fault rules by caller

Cause: a fault proxy before a daemon's listener could not tell its callers apart, so a link between two processes or regions could not be cut without cutting all others. Change: the optional setting connect_from binds a daemon's outgoing connections to an IP of its host, as hosts with several addresses need it; the port is chosen by the connect, so that one port serves connections to different targets. The fault proxy takes faults and cuts for a prefix of the callers' IP. Considered: a proxy for each pair of caller and target, which needs an own peer address for each viewer while gossip spreads one; naming the caller in a header, which makes the relay parse HTTP and says nothing about connections that have sent nothing yet. Conclusion: without the setting nothing changes; measured by the tests that use it.

--- a/include/hibiscuswall/core/settings_reader.hpp
+++ b/include/hibiscuswall/core/settings_reader.hpp
@@ -42,6 +42,8 @@
     auto texts(std::string_view key) -> std::vector<std::string>; // empty when absent
     auto optional_address(std::string_view key) -> address;       // empty when absent
 
+    auto optional_ip(std::string_view key) -> std::string; // empty when absent
+
     // An absent child reads as an empty object.
     auto child(std::string_view key) -> settings_reader;
 
--- a/include/hibiscuswall/daemon/agent_daemon.hpp
+++ b/include/hibiscuswall/daemon/agent_daemon.hpp
@@ -15,6 +15,7 @@
 struct agent_settings {
     member self;                    // "name", "region", "failure_domain"
     address listen;                 // "listen": entries, peers, engine, metrics
+    std::string connect_from;       // "connect_from": source IP of outgoing connections; optional
     platform_settings platform;     // "platform"
     endpoint_settings endpoint;     // "endpoint"
     admission_settings admission;   // "admission"
--- a/include/hibiscuswall/daemon/entry_daemon.hpp
+++ b/include/hibiscuswall/daemon/entry_daemon.hpp
@@ -14,6 +14,7 @@
     member self;                    // "name", "region", "failure_domain"
     address client_listen;          // "client_listen": callers
     address control_listen;         // "control_listen": operators, peers, metrics
+    std::string connect_from;       // "connect_from": source IP of outgoing connections; optional
     platform_settings platform;     // "platform"
     stop_settings stop;             // "stop"
     config_settings config;         // "config"
--- a/include/hibiscuswall/http/http_client.hpp
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -74,6 +74,9 @@
     auto open(address const& where, http_request request, http_call_options options = {})
         -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
 
+    // Source IP of connections made from now on; empty: the kernel chooses.
+    auto connect_from(std::string ip) -> void;
+
     // Bytes sent and received since the start, for the cost of control.
     [[nodiscard]] auto bytes_sent() const -> std::size_t;
     [[nodiscard]] auto bytes_received() const -> std::size_t;
--- a/src/core/settings_reader.cpp
+++ b/src/core/settings_reader.cpp
@@ -1,5 +1,7 @@
 #include "hibiscuswall/core/settings_reader.hpp"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
 
 namespace hibiscuswall {
@@ -158,6 +160,16 @@
     return {};
 }
 
+auto settings_reader::optional_ip(std::string_view key) -> std::string
+{
+    auto ip = text(key, "");
+    auto code = boost::system::error_code{};
+    if (!ip.empty()) boost::asio::ip::make_address(ip, code);
+    if (!code) return ip;
+    complain(key, "\"" + ip + "\" is not an IP number");
+    return {};
+}
+
 auto settings_reader::addresses(std::string_view key) -> std::vector<address>
 {
     auto list = std::vector<address>{};
--- a/src/daemon/agent_daemon.cpp
+++ b/src/daemon/agent_daemon.cpp
@@ -71,6 +71,7 @@
     auto reader = settings_reader{document, "", errors};
     read_identity(reader, settings.self);
     settings.listen = reader.endpoint_address("listen");
+    settings.connect_from = reader.optional_ip("connect_from");
     settings.platform = read_platform_settings(reader.child("platform"));
     settings.endpoint = read_endpoint_settings(reader.child("endpoint"));
     settings.admission = read_admission_settings(reader.child("admission"));
@@ -106,6 +107,7 @@
         std::cerr << program << ": " << bound.error().message << '\n';
         return exit_usage;
     }
+    modules.base.context().client.connect_from(settings.connect_from);
     modules.base.ready_when(
         [&] { return modules.config.current() != nullptr && modules.gate.serving().has_value(); });
     modules.base.on_stop([&] { return modules.drain(); });
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -75,6 +75,7 @@
     read_identity(reader, settings.self);
     settings.client_listen = reader.endpoint_address("client_listen");
     settings.control_listen = reader.endpoint_address("control_listen");
+    settings.connect_from = reader.optional_ip("connect_from");
     settings.platform = read_platform_settings(reader.child("platform"));
     settings.stop = read_stop_settings(reader.child("stop"));
     settings.config = read_config_settings(reader.child("config"));
@@ -107,6 +108,7 @@
         std::cerr << program << ": " << bound.error().message << '\n';
         return exit_usage;
     }
+    modules.base.context().client.connect_from(settings.connect_from);
     modules.base.ready_when([&] { return modules.config.current() != nullptr; });
     modules.base.on_stop([&] { return modules.drain(); });
     modules.config.start();
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -43,6 +43,23 @@
     return code != asio::error::would_block && code != asio::error::try_again;
 }
 
+// Gives the socket its source address; without an address the kernel chooses.
+auto bind_source(tcp::socket& socket, std::string const& ip) -> boost::system::error_code
+{
+    auto code = boost::system::error_code{};
+    if (ip.empty()) return code;
+    auto const own = asio::ip::make_address(ip, code);
+    if (code) return code;
+    auto const any_port = tcp::endpoint{own, 0};
+    socket.open(any_port.protocol(), code);
+    if (code) return code;
+    // The port is chosen by the connect: one port then serves connections to different targets.
+    using late_port = asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+    socket.set_option(late_port{true}, code);
+    socket.bind(any_port, code);
+    return code;
+}
+
 auto transport_error(boost::system::error_code code, address const& where) -> error
 {
     auto const what = where.text() + ": " + code.message();
@@ -78,6 +95,7 @@
     asio::io_context& io;
     timeline* events = nullptr;
     std::map<address, std::vector<connection_ptr>> idle;
+    std::string source; // IP of outgoing connections; empty: the kernel chooses
     std::size_t sent = 0;
     std::size_t received = 0;
 
@@ -109,6 +127,8 @@
     {
         auto fresh = std::make_unique<connection>(io);
         auto const target = tcp::endpoint{asio::ip::make_address(where.ip), where.port};
+        if (auto const unbound = bind_source(fresh->stream.socket(), source))
+            co_return fail(result_code::connect_failed, source + ": " + unbound.message());
         fresh->stream.expires_after(timeout);
         auto [code] = co_await fresh->stream.async_connect(target, awaitable_tuple);
         if (code) co_return fail(result_code::connect_failed, where.text() + ": " + code.message());
@@ -273,6 +293,7 @@
     co_return http_response{answer.status(), answer.headers(), std::move(body).value()};
 }
 
+auto http_client::connect_from(std::string ip) -> void { state_->source = std::move(ip); }
 auto http_client::bytes_sent() const -> std::size_t { return state_->sent; }
 auto http_client::bytes_received() const -> std::size_t { return state_->received; }
 
--- a/standins/fault_proxy.cpp
+++ b/standins/fault_proxy.cpp
@@ -17,18 +17,19 @@
     {
         using out_t = http_responder;
         program.add("POST", "/v1/faults", [this](http_request const& request, out_t& out) {
-            shared_.faults.add(body_object(request));
+            shared_.rules.add(body_object(request));
             apply_rate();
             return send_json(out, 200, body_object(request));
         });
         program.add("POST", "/v1/clear", [this](http_request const& /*request*/, out_t& out) {
-            shared_.faults = {};
+            shared_.rules = {};
             apply_rate();
             return send_status(out, 200);
         });
-        program.add("POST", "/v1/cut", [this](http_request const& /*request*/, out_t& out) {
+        program.add("POST", "/v1/cut", [this](http_request const& request, out_t& out) {
+            auto const source = body_object(request).value("source", std::string{});
             for (auto const& weak : open_)
-                if (auto const held = weak.lock()) held->reset();
+                if (auto const held = weak.lock(); held && held->source().starts_with(source)) held->reset();
             return send_status(out, 200);
         });
         program.add("GET", "/v1/stats",
@@ -39,8 +40,8 @@
 private:
     auto apply_rate() -> void
     {
-        shared_.to_target.set_rate(shared_.faults.rate);
-        shared_.to_caller.set_rate(shared_.faults.rate);
+        shared_.to_target.set_rate(shared_.rules.all.rate);
+        shared_.to_caller.set_rate(shared_.rules.all.rate);
     }
 
     auto stats(http_responder& out) const -> asio::awaitable<void>
@@ -63,7 +64,7 @@
             auto made = std::make_shared<proxy_connection>(shared_, std::move(socket));
             std::erase_if(open_, [](auto const& weak) { return weak.expired(); });
             open_.push_back(made);
-            if (shared_.faults.refuse)
+            if (shared_.rules.of(made->source()).refuse)
                 made->reset();
             else
                 made->start(target_);
--- a/standins/support/proxy_connection.hpp
+++ b/standins/support/proxy_connection.hpp
@@ -28,7 +28,7 @@
 struct proxy_shared {
     boost::asio::io_context& io;
     random_source& random;
-    proxy_faults faults;
+    proxy_rules rules;
     proxy_counts counts;
     rate_limiter to_target{0};
     rate_limiter to_caller{0};
@@ -65,6 +65,8 @@
         : shared_{shared}, caller_{std::move(caller)}, target_{shared.io}, request_{caller_, target_, false},
           answer_{target_, caller_, true}
     {
+        auto ignored = boost::system::error_code{};
+        source_ = caller_.remote_endpoint(ignored).address().to_string();
         ++shared_.counts.connections;
         ++shared_.counts.open;
     }
@@ -77,6 +79,8 @@
         boost::asio::co_spawn(shared_.io, run(shared_from_this(), target), boost::asio::detached);
     }
 
+    [[nodiscard]] auto source() const -> std::string const& { return source_; }
+
     // Closes both sides with a reset.
     auto reset() -> void
     {
@@ -121,15 +125,17 @@
                 self->reset();
                 co_return;
             }
-            way->queue.push_back({clock::now() + self->shared_.faults.delay, buffer.substr(0, size)});
+            way->queue.push_back({clock::now() + self->faults().delay, buffer.substr(0, size)});
             way->wake.cancel();
             if (code) co_return;
         }
     }
 
+    [[nodiscard]] auto faults() const -> proxy_faults& { return shared_.rules.of(source_); }
+
     [[nodiscard]] auto held(direction const& way) const -> bool
     {
-        return !closed_ && (shared_.faults.stall || (way.answer && shared_.faults.hold_answers));
+        return !closed_ && (faults().stall || (way.answer && faults().hold_answers));
     }
 
     static auto write_loop(std::shared_ptr<proxy_connection> self, direction* way)
@@ -172,33 +178,33 @@
     // False when the connection was reset.
     auto apply_answer_faults(direction& way, std::string& bytes) -> bool
     {
-        auto& faults = shared_.faults;
-        if (faults.drop_answers > 0) {
-            --faults.drop_answers;
+        auto& active = faults();
+        if (active.drop_answers > 0) {
+            --active.drop_answers;
             ++shared_.counts.dropped_answers;
             reset();
             return false;
         }
-        if (faults.corrupt > 0 && shared_.random.fraction() < faults.corrupt) {
+        if (active.corrupt > 0 && shared_.random.fraction() < active.corrupt) {
             ++shared_.counts.corrupted;
             auto& byte = bytes[shared_.random.below(bytes.size())];
             byte = static_cast<char>(~byte);
         }
-        if (faults.cut_after > 0 && way.sent + bytes.size() > faults.cut_after)
-            bytes.resize(faults.cut_after > way.sent ? faults.cut_after - way.sent : 1);
+        if (active.cut_after > 0 && way.sent + bytes.size() > active.cut_after)
+            bytes.resize(active.cut_after > way.sent ? active.cut_after - way.sent : 1);
         return true;
     }
 
     // False when nothing more is sent to the caller.
     auto finish_answer(direction& way) -> bool
     {
-        auto& faults = shared_.faults;
-        if (faults.cut_after > 0 && way.sent >= faults.cut_after) {
+        auto& active = faults();
+        if (active.cut_after > 0 && way.sent >= active.cut_after) {
             reset();
             return false;
         }
-        if (!faults.half_close) return true;
-        faults.half_close = false;
+        if (!active.half_close) return true;
+        active.half_close = false;
         auto ignored = boost::system::error_code{};
         way.to.shutdown(tcp::socket::shutdown_send, ignored);
         return false;
@@ -209,6 +215,7 @@
     tcp::socket target_;
     direction request_;
     direction answer_;
+    std::string source_; // IP of the caller
     bool closed_ = false;
 };
 
--- a/standins/support/proxy_faults.hpp
+++ b/standins/support/proxy_faults.hpp
@@ -2,12 +2,15 @@
 // Faults of the proxy and what it counted; fields as in docs/platform.md.
 //
 //   faults.add(body);          // sets the fields that the object names
+//   rules.of("127.0.11.4")     // faults of the longest prefix of this caller, else those of all callers
 
 #include "hibiscuswall/core/time.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace hibiscuswall {
 
@@ -36,6 +39,30 @@
     }
 };
 
+// Faults by the caller's source IP.
+struct proxy_rules {
+    proxy_faults all;                              // callers without a rule of their own
+    std::map<std::string, proxy_faults> by_source; // by prefix of the IP
+
+    auto of(std::string const& source) -> proxy_faults&
+    {
+        auto* found = &all;
+        auto longest = std::size_t{0};
+        for (auto& [prefix, faults] : by_source) {
+            if (prefix.size() < longest || !source.starts_with(prefix)) continue;
+            longest = prefix.size();
+            found = &faults;
+        }
+        return *found;
+    }
+
+    auto add(nlohmann::json const& body) -> void
+    {
+        auto const source = body.value("source", std::string{});
+        (source.empty() ? all : by_source[source]).add(body);
+    }
+};
+
 struct proxy_counts {
     std::uint64_t connections = 0;
     std::uint64_t open = 0;
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -67,6 +67,19 @@
     STRCMP_EQUAL("listen: is required", errors[3].c_str());
 }
 
+// Guards against a name as a source address, which would be found wrong only at the first connection.
+TEST(core, a_source_address_must_be_an_ip_number)
+{
+    auto const document = nlohmann::json{{"good", "127.0.10.1"}, {"bad", "host-1"}};
+    auto errors = std::vector<std::string>{};
+    auto reader = settings_reader{document, "", errors};
+    STRCMP_EQUAL("127.0.10.1", reader.optional_ip("good").c_str());
+    STRCMP_EQUAL("", reader.optional_ip("absent").c_str());
+    STRCMP_EQUAL("", reader.optional_ip("bad").c_str());
+    CHECK_EQUAL(1U, errors.size());
+    STRCMP_EQUAL("bad: \"host-1\" is not an IP number", errors[0].c_str());
+}
+
 // Guards against the table in the docs and the codes drifting apart.
 TEST(core, result_codes_match_the_table_in_the_docs)
 {
