Test cut regions and faulty links with real processes

Cause: region cuts, max_unconfirmed_ms and faults on the links between daemons were decided in unit tests only. Change: the test deployment puts a fault proxy before each daemon's listener and cuts one region from the others and the platform, both ways. HW_UNPROTECTED=NAME turns one protection off by settings, resources or a naive caller, to see tests fail.

--- a/tests/support/caller_load.hpp
+++ b/tests/support/caller_load.hpp
@@ -21,6 +21,7 @@
     int whole = 0;  // complete and correct
     int failed = 0; // refused, cut or without an answer; the caller was told so
     int wrong = 0;  // presented as complete but of another prompt, mixed weights or missing tokens
+    std::map<std::string, int> versions; // of the whole answers, by weights version
     std::vector<std::string> problems;
 };
 
@@ -76,6 +77,8 @@
         auto const lock = std::lock_guard{mutex_};
         if (answer.whole && text_is_consistent(answer.text, prompt, tokens_)) {
             ++counts_.whole;
+            auto const at = answer.text.find('@') + 1; // "<prompt>#<n>@<version>:<content> "
+            ++counts_.versions[answer.text.substr(at, answer.text.find(':', at) - at)];
             return;
         }
         ++(answer.whole ? counts_.wrong : counts_.failed);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "support/await_condition.hpp"
 #include "support/port_pool.hpp"
+#include "support/unprotected.hpp"
 
 #include <cstdlib>
 #include <fstream>
@@ -12,6 +13,13 @@
 
 constexpr auto regions = std::array{"gorenjska", "stajerska", "primorska"};
 
+// Of the source IPs of a region's hosts.
+auto source_prefix(std::size_t region) -> std::string
+{
+    constexpr auto first_network = std::size_t{10}; // 127.0.0.x stays for the test and the platform
+    return "127.0." + std::to_string(first_network + region) + ".";
+}
+
 auto new_folder() -> std::filesystem::path
 {
     static auto number = 0;
@@ -99,6 +107,8 @@
     host.region = regions[domain];
     host.failure_domain = failure_domains[domain];
     host.control = port_pool::next();
+    host.advertised = host.control;
+    if (options_.link_proxies) host.source = source_prefix(domain) + std::to_string(hosts_.size() + 1);
     if (role == "entry")
         host.client = port_pool::next();
     else
@@ -121,11 +131,14 @@
 
 auto deployment::start_platform() -> void
 {
+    if (options_.link_proxies)
+        for (auto& host : hosts_)
+            host.advertised = start_proxy("link@" + host.name, host.control);
     auto list = nlohmann::json::array();
     for (auto const& host : hosts_)
         list.push_back({{"name", host.name},
                         {"role", host.role},
-                        {"address", host.control.text()},
+                        {"address", host.advertised.text()},
                         {"region", host.region},
                         {"failure_domain", host.failure_domain},
                         {"service", host.service},
@@ -201,6 +214,10 @@
                                    {"platform", platform_settings_of(host)},
                                    {"stop", {{"balancer_delay_ms", 300}, {"drain_timeout_ms", 20'000}}},
                                    {"log_level", "info"}};
+    if (!host.source.empty()) {
+        settings["connect_from"] = host.source;
+        settings["advertise"] = host.advertised.text();
+    }
     if (host.role == "entry") {
         settings["client_listen"] = host.client.text();
         settings["control_listen"] = host.control.text();
@@ -215,6 +232,7 @@
                                 {"fencing", options_.fencing_enforced ? "enforced" : "ignored"}};
         settings.merge_patch(options_.agent_settings);
     }
+    remove_protection(settings, host.role);
     write_json(host.settings, settings);
 }
 
@@ -261,6 +279,33 @@
     return true;
 }
 
+// ---- links
+
+auto deployment::fault_link(std::string const& target, std::string const& source, nlohmann::json faults)
+    -> void
+{
+    if (!source.empty()) faults["source"] = source;
+    call_json(proxy("link@" + target), "POST", "/v1/faults", faults);
+}
+
+auto deployment::cut_region(std::string const& region) -> void
+{
+    for (auto const& host : hosts_) {
+        for (auto i = std::size_t{0}; i < regions.size(); ++i)
+            if (host.region != regions[i] && (host.region == region || region == regions[i]))
+                fault_link(host.name, source_prefix(i), {{"stall", true}});
+        if (host.region != region) continue;
+        for (auto const* service : {"key_value", "host_list", "weight_store", "origin"})
+            call_json(proxy(service + ("@" + host.failure_domain)), "POST", "/v1/faults", {{"stall", true}});
+    }
+}
+
+auto deployment::heal_links() -> void
+{
+    for (auto const& [name, place] : proxies_)
+        call(place.control, {"POST", "/v1/clear"});
+}
+
 // ---- configuration
 
 auto deployment::default_resources() const -> nlohmann::json
@@ -274,8 +319,10 @@
         domains.push_back(failure_domains[i]);
         add("FailureDomain", failure_domains[i], {{"region", regions[i]}, {"state", "in"}});
     }
-    auto const limits = nlohmann::json{
-        {"cold_limit", options_.cold_limit}, {"max_limit", options_.max_limit}, {"queue_limit", 64}};
+    auto const limits =
+        nlohmann::json{{"cold_limit", unprotected("cold_limit") ? options_.max_limit : options_.cold_limit},
+                       {"max_limit", options_.max_limit},
+                       {"queue_limit", 64}};
     auto const service = [&](std::string const& name, std::string const& type, nlohmann::json const& routes) {
         auto spec = limits;
         spec["type"] = type;
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -42,6 +42,8 @@
     bool fencing_enforced = true;
     bool platform_proxies = false; // a fault proxy before each platform service for each failure domain
     bool endpoint_proxies = false; // a fault proxy between each agent and its endpoint
+    bool link_proxies = false; // a fault proxy before each daemon's control or forward listener, and an own
+                               // source IP for each daemon, so that links can be cut by caller
 
     std::vector<std::string> engine_arguments{"--token-ms", "5", "--prefill-ms", "5"};
     std::vector<std::string> service_arguments{"--service-ms", "5"};
@@ -61,6 +63,8 @@
     std::string service;            // of an agent: "drafting", "booking" or "records"
     address client;                 // of an entry
     address control;                // of an agent: its listener
+    address advertised;             // where peers reach it: control, or the proxy before it
+    std::string source;             // IP of its outgoing connections; empty: chosen by the kernel
     address endpoint;               // of an agent: engine or service
     std::filesystem::path settings; // file
     process daemon;
@@ -89,6 +93,15 @@
     // Starts a host's daemon again after it ended.
     auto restart_daemon(deployment_host& host) -> void;
 
+    // ---- links (with link_proxies and platform_proxies)
+
+    // Cuts a region from the other regions and the platform, both ways: connections hang. What was under way
+    // arrives late, after heal_links().
+    auto cut_region(std::string const& region) -> void;
+    // Faults on the way to a host's listener, for callers whose IP begins with source.
+    auto fault_link(std::string const& target, std::string const& source, nlohmann::json faults) -> void;
+    auto heal_links() -> void;
+
     // ---- configuration
     [[nodiscard]] auto default_resources() const -> nlohmann::json;
     auto apply(nlohmann::json const& resources) -> http_response; // at the first entry
@@ -103,7 +116,7 @@
     [[nodiscard]] auto platform_process(std::string const& name) -> process& { return platform_[name]; }
 
     // Control address of a fault proxy: "<service>@<failure domain>" with service key_value, host_list,
-    // weight_store or origin, or "endpoint@<agent>".
+    // weight_store or origin, "endpoint@<agent>", or "link@<host>".
     [[nodiscard]] auto proxy(std::string const& name) const -> address { return proxies_.at(name).control; }
 
 private:
