Answer a revoked call with its key's claim instead of "not run"

Cause: an entry that was paused between its claim and its send continued after a repeat at another entry had revoked its call and run the booking. The agent refused the late call, and the paused entry passed this on to its caller as call_revoked, ran=no: a caller that believes it books anew. Change: after call_revoked a keyed call looks at its claim again and gives the first answer. The group's other tests: 128 bookings through stalled, held, dropped, cut, delayed and refused links to two agents: doubled 0, foreign 0, false "not run" 0, lost 0; 70 drafts whole under the same faults; a killed agent during a store outage leads to no second run.

--- a/src/calls/call_run.cpp
+++ b/src/calls/call_run.cpp
@@ -91,6 +91,8 @@
 {
     if (attempts_ >= services_->settings.attempts) return false;
     if (end == attempt_end::lost) return call_.idempotent && services_->budget.take();
+    // A repeat with the key has revoked this call and may have run: the claim tells what to answer.
+    if (last_.code == result_code::call_revoked && !claim_id_.empty()) return true;
     if (!worth_another_endpoint(last_.code)) return false;
     return !costs_retry_budget(last_.code) || services_->budget.take();
 }
