Answer for a call only under incarnations that this process has used

Cause: a paused process that continues after its host got a new process of the same name hears of the higher incarnation and raises its own above it. It then held every number between its first and its present one for its own, the replacement's included: call.resolve for a call that had gone to the replacement gave "revoked", and the repeat ran a second time. Change: the gate keeps the numbers that it has gone by (at most 64); any other is another incarnation, which makes the outcome unknown. Run: integration-tests -sg gate -n does_not_answer_for_another_process_of_its_name; before the change the first question is answered "revoked" by the code's range check (read, not run).

--- a/src/calls/gate_rpc.cpp
+++ b/src/calls/gate_rpc.cpp
@@ -1,7 +1,21 @@
-// JSON-RPC answers of the request gate: call.resolve and endpoint.status.
+// JSON-RPC answers of the request gate, call.resolve and endpoint.status, and whose calls it answers for.
 #include "gate_state.hpp"
 
 namespace hibiscuswall {
+namespace {
+
+constexpr auto incarnations_kept = std::size_t{64}; // of this process; a forgotten one counts as another's
+
+} // namespace
+
+// Whether this process has gone by the incarnation. A number between two of its own may be that of another
+// process of the same name, such as the replacement of a paused one: nothing is known here about its calls.
+auto request_gate::state::is_own(std::uint64_t incarnation) -> bool
+{
+    own_incarnations.insert(context.self.incarnation);
+    if (own_incarnations.size() > incarnations_kept) own_incarnations.erase(own_incarnations.begin());
+    return own_incarnations.contains(incarnation);
+}
 
 auto request_gate::state::resolve(nlohmann::json const& params) -> result<nlohmann::json>
 {
@@ -9,8 +23,7 @@
         !params["incarnation"].is_number_unsigned())
         return fail(result_code::request_malformed, "call_id and incarnation are required");
     auto const incarnation = params["incarnation"].get<std::uint64_t>();
-    if (incarnation < first_incarnation || incarnation > context.self.incarnation)
-        return nlohmann::json{{"state", "other_incarnation"}};
+    if (!is_own(incarnation)) return nlohmann::json{{"state", "other_incarnation"}};
     auto age = std::optional<milliseconds>{};
     if (params.contains("age_ms") && params["age_ms"].is_number_integer())
         age = milliseconds{params["age_ms"].get<long long>()};
--- a/src/calls/gate_state.hpp
+++ b/src/calls/gate_state.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <set>
 
 namespace hibiscuswall {
 
@@ -46,7 +47,7 @@
 
     // ---- request_gate.cpp
     auto add_routes() -> void;
-    auto refusal(forward_request const& call) const -> result_code;
+    auto refusal(forward_request const& call) -> result_code;
     auto handle(http_request const& request, http_responder& out) -> asio::awaitable<void>;
     auto admitted(std::uint64_t id, forward_request call, std::string body, http_responder& out)
         -> asio::awaitable<void>;
@@ -66,6 +67,7 @@
     auto weight_of(std::string const& account) const -> double;
 
     // ---- gate_rpc.cpp
+    auto is_own(std::uint64_t incarnation) -> bool;
     auto resolve(nlohmann::json const& params) -> result<nlohmann::json>;
     auto status() const -> nlohmann::json;
 
@@ -98,7 +100,7 @@
     admission_controller admission;
     call_registry registry{call_registry_settings{}};
     endpoint_machine machine;
-    std::uint64_t first_incarnation; // of this process; context.self.incarnation may be raised later
+    std::set<std::uint64_t> own_incarnations; // that calls have met here; context.self.incarnation may rise
 
     std::optional<served_weights> ordered;           // by serve()
     result_code closed = result_code::endpoint_cold; // ok: open
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -33,13 +33,13 @@
                            admission_settings limits)
     : context{shared}, config{source}, endpoint{std::move(where)}, engine{shared.client, endpoint.where,
                                                                           endpoint.status_timeout},
-      admission{limits}, first_incarnation{shared.self.incarnation}
+      admission{limits}, own_incarnations{shared.self.incarnation}
 {
 }
 
 // ---- requests
 
-auto request_gate::state::refusal(forward_request const& call) const -> result_code
+auto request_gate::state::refusal(forward_request const& call) -> result_code
 {
     auto const now = clock::now();
     auto const view = config.current();
@@ -48,7 +48,7 @@
     if (!config.confirmed(now)) return result_code::configuration_unconfirmed;
     if (!view->in_service(context.self.name, context.self.failure_domain))
         return result_code::failure_domain_out;
-    auto const ours = call.incarnation >= first_incarnation && call.incarnation <= context.self.incarnation;
+    auto const ours = is_own(call.incarnation);
     // An entry that knows this process only from the host list names no incarnation. Without one it could not
     // ask later what became of the call; the refusal tells it, and the call is sent again.
     if (!ours && (!call.idempotent || call.incarnation != 0)) return result_code::agent_restarted;
--- a/tests/integration/request_gate_test.cpp
+++ b/tests/integration/request_gate_test.cpp
@@ -312,6 +312,17 @@
     check_not_run(send(request("late", false)), result_code::call_revoked);
 }
 
+// Guards against a paused process that speaks for its replacement: it knows nothing of the calls that went
+// there, so "never seen" from it would let them run twice.
+TEST(gate, does_not_answer_for_another_process_of_its_name)
+{
+    start(service_type::plain);
+    context->self.incarnation = own_incarnation + 10; // raised over the replacement's, own_incarnation + 5
+    STRCMP_EQUAL("other_incarnation", resolve("theirs", own_incarnation + 5).c_str());
+    STRCMP_EQUAL("revoked", resolve("first", own_incarnation).c_str());
+    STRCMP_EQUAL("revoked", resolve("second", own_incarnation + 10).c_str());
+}
+
 // Guards against "not run" being withheld when nothing could have run.
 TEST(gate, no_connection_to_the_service_is_not_run)
 {
