--- a/include/hibiscuswall/daemon/daemon_settings.hpp
+++ b/include/hibiscuswall/daemon/daemon_settings.hpp
@@ -19,6 +19,7 @@
 
 struct daemon_settings {
     member self;                    // "name", "region", "failure_domain", "advertise"
+    std::string connect_from;       // "connect_from": source IP of outgoing connections; optional
     platform_settings platform;     // "platform"
     stop_settings stop;             // "stop"
     config_settings config;         // "config"
--- a/src/daemon/daemon_core.cpp
+++ b/src/daemon/daemon_core.cpp
@@ -9,6 +9,7 @@
       members{settings.membership}, config{base.context(), store, members, settings.config},
       gossip{base.context(), members, config, host_list, settings.membership}
 {
+    base.context().client.connect_from(settings.connect_from);
 }
 
 auto daemon_core::start() -> void
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -13,6 +13,7 @@
 {
     read_identity(reader, settings.self);
     settings.self.incarnation = static_cast<std::uint64_t>(wall_clock_ms());
+    settings.connect_from = reader.optional_ip("connect_from");
     settings.platform = read_platform_settings(reader.child("platform"));
     settings.stop = read_stop_settings(reader.child("stop"));
     settings.config = read_config_settings(reader.child("config"));
