Count control bytes by purpose

Cause: the figure of control_cost was one sum of everything that a process's HTTP client moved, so that nobody could see which mechanism breaks the bound of 4 KB a second. Control is what hosts say to each other and to the platform without a request: exchanges, pushes, fetches, host list, key-value reads, writes and watches. Forwarded requests, weights, claims, operators' questions and the polling of the endpoint on the same host are not.

--- a/include/hibiscuswall/http/http_client.hpp
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -23,9 +23,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hibiscuswall {
 
@@ -37,6 +39,13 @@
     std::size_t body_limit = 64U << 20U; // larger answers fail as response_malformed
     bool fresh_connection = false;       // for non-idempotent calls: a stale kept-alive connection would hide
                                          // whether the request was received
+    std::string_view purpose = "data";   // whose bytes these are, see traffic(); "data": requests and weights
+};
+
+// Bytes of HTTP messages with headers, without TCP and IP headers.
+struct http_traffic {
+    std::size_t sent = 0;     // requests
+    std::size_t received = 0; // answers
 };
 
 // An answer whose body is read piece by piece. Destroying it before the end closes the connection.
@@ -74,9 +83,13 @@
     auto open(address const& where, http_request request, http_call_options options = {})
         -> asio::awaitable<result<std::unique_ptr<http_stream>>>;
 
-    // Bytes sent and received since the start, for the cost of control.
-    [[nodiscard]] auto bytes_sent() const -> std::size_t;
-    [[nodiscard]] auto bytes_received() const -> std::size_t;
+    // Bytes since the start by http_call_options::purpose, for the cost of control. Purposes are literals and
+    // names of rpc methods, so their number is bounded.
+    using traffic_by_purpose = std::map<std::string, http_traffic, std::less<>>;
+    [[nodiscard]] auto traffic() const -> traffic_by_purpose const&;
+
+    // Kept-alive connections without a request.
+    [[nodiscard]] auto idle_connections() const -> std::size_t;
 
     struct state;
 
--- a/src/api/status_report.cpp
+++ b/src/api/status_report.cpp
@@ -108,6 +108,7 @@
     auto options = http_call_options{};
     options.timeout = ask_timeout;
     options.connect_timeout = ask_timeout;
+    options.purpose = "operators";
     auto request = http_request{"GET", "/timeline"};
     auto answer = co_await context_.client.fetch(peer.control, std::move(request), options);
     if (!answer) co_return answer.error();
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -70,8 +70,13 @@
                 });
     control.add("GET", "/metrics",
                 [this](http_request const& /*request*/, http_responder& out) -> asio::awaitable<void> {
-                    measures.set("control_bytes_sent", {}, static_cast<double>(client.bytes_sent()));
-                    measures.set("control_bytes_received", {}, static_cast<double>(client.bytes_received()));
+                    for (auto const& [purpose, bytes] : client.traffic()) {
+                        measures.set("client_bytes", {{"purpose", purpose}, {"direction", "sent"}},
+                                     static_cast<double>(bytes.sent));
+                        measures.set("client_bytes", {{"purpose", purpose}, {"direction", "received"}},
+                                     static_cast<double>(bytes.received));
+                    }
+                    measures.set("idle_connections", {}, static_cast<double>(client.idle_connections()));
                     auto page = http_response{200, {}, measures.text()};
                     page.headers.set("Content-Type", "text/plain; version=0.0.4");
                     co_await out.send(std::move(page));
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -78,11 +78,16 @@
     asio::io_context& io;
     timeline* events = nullptr;
     std::map<address, std::vector<connection_ptr>> idle;
-    std::size_t sent = 0;
-    std::size_t received = 0;
+    traffic_by_purpose traffic;
 
     state(asio::io_context& context, timeline* line) : io{context}, events{line} {}
 
+    auto counts_of(std::string_view purpose) -> http_traffic&
+    {
+        auto const found = traffic.find(purpose);
+        return found != traffic.end() ? found->second : traffic[std::string{purpose}];
+    }
+
     auto take(address const& where, time_point now) -> connection_ptr
     {
         auto& list = idle[where];
@@ -128,8 +133,8 @@
 public:
     response_stream(std::shared_ptr<http_client::state> client, address where, connection_ptr held,
                     http_call_options options, std::optional<time_point> deadline)
-        : client_{std::move(client)}, where_{std::move(where)},
-          connection_{std::move(held)}, options_{options}, deadline_{deadline}
+        : client_{std::move(client)}, where_{std::move(where)}, connection_{std::move(held)},
+          options_{options}, deadline_{deadline}, counts_{client_->counts_of(options.purpose)}
     {
         parser_.body_limit(options.body_limit);
         parser_.header_limit(32 * 1024);
@@ -140,7 +145,7 @@
         set_expiry();
         auto [code, size] = co_await http::async_read_header(connection_->stream, connection_->buffer,
                                                              parser_, awaitable_tuple);
-        client_->received += size;
+        counts_.received += size;
         if (code) co_return code;
         for (auto const& field : parser_.get())
             headers_.set(std::string_view{field.name_string()}, std::string_view{field.value()});
@@ -168,7 +173,7 @@
             set_expiry();
             auto [code, size] = co_await http::async_read_some(connection_->stream, connection_->buffer,
                                                                parser_, awaitable_tuple);
-            client_->received += size;
+            counts_.received += size;
             if (code && code != http::error::need_buffer) co_return transport_error(code, where_);
             piece.resize(piece.size() - parser_.get().body().size);
             if (!piece.empty()) co_return std::optional{std::move(piece)};
@@ -216,6 +221,7 @@
     std::optional<time_point> deadline_; // of the whole answer; without it each piece has options_.timeout
     http::response_parser<http::buffer_body> parser_;
     http_headers headers_;
+    http_traffic& counts_; // in the client's state
 };
 
 } // namespace
@@ -236,7 +242,7 @@
         auto const reused = held->reused;
         held->stream.expires_after(options.timeout);
         auto [write_code, size] = co_await http::async_write(held->stream, message, awaitable_tuple);
-        sent += size;
+        counts_of(options.purpose).sent += size;
         auto answer = std::make_unique<response_stream>(self, where, std::move(held), options, deadline);
         auto code = write_code;
         if (!code) code = co_await answer->read_header();
@@ -273,7 +279,13 @@
     co_return http_response{answer.status(), answer.headers(), std::move(body).value()};
 }
 
-auto http_client::bytes_sent() const -> std::size_t { return state_->sent; }
-auto http_client::bytes_received() const -> std::size_t { return state_->received; }
+auto http_client::traffic() const -> traffic_by_purpose const& { return state_->traffic; }
+auto http_client::idle_connections() const -> std::size_t
+{
+    auto sum = std::size_t{0};
+    for (auto const& [where, list] : state_->idle)
+        sum += list.size();
+    return sum;
+}
 
 } // namespace hibiscuswall
--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -38,6 +38,7 @@
     auto options = http_call_options{};
     options.timeout = timeout_;
     options.connect_timeout = timeout_;
+    options.purpose = "endpoint_status";
     auto answer = co_await client_.fetch(where_, {"GET", "/v1/status", {}, {}}, options);
     if (!answer) co_return answer.error();
     if (answer.value().status != 200)
--- a/src/platform/host_list_client.cpp
+++ b/src/platform/host_list_client.cpp
@@ -9,6 +9,7 @@
     auto options = http_call_options{};
     options.timeout = timeout_;
     options.connect_timeout = timeout_;
+    options.purpose = "host_list";
     auto answer = co_await client_.fetch(where_, {"GET", "/v1/hosts", {}, {}}, options);
     if (!answer) co_return answer.error();
     auto const body = nlohmann::json::parse(answer.value().body, nullptr, false);
--- a/src/platform/key_value_client.cpp
+++ b/src/platform/key_value_client.cpp
@@ -12,6 +12,13 @@
     return target;
 }
 
+// Claims belong to requests; everything else is control.
+auto purpose_of(std::string_view target) -> std::string_view
+{
+    if (target.substr(0, 9) == "/v1/watch") return "key_value_watch";
+    return target.substr(0, 13) == "/v1/kv/claims" ? "claims" : "key_value";
+}
+
 auto to_entry(http_response&& answer) -> key_value_entry
 {
     auto const revision = static_cast<std::uint64_t>(answer.headers.number("X-Revision", 0));
@@ -37,6 +44,7 @@
     options.connect_timeout = timeout_;
     options.timeout = timeout;
     options.fresh_connection = is_write;
+    options.purpose = purpose_of(request.target);
     auto last = fail(result_code::store_unavailable, "key-value service: no address");
     for (auto tried = std::size_t{0}; tried < where_.size(); ++tried) {
         auto const index = (preferred_ + tried) % where_.size();
--- a/src/rpc/rpc_dispatcher.cpp
+++ b/src/rpc/rpc_dispatcher.cpp
@@ -37,6 +37,7 @@
     auto options = http_call_options{};
     options.timeout = timeout;
     options.connect_timeout = timeout;
+    options.purpose = method;
     auto answer = co_await client.fetch(where, std::move(request), options);
     if (!answer) co_return answer.error();
     if (answer.value().status != 200)
