Share reads of the host list in a failure domain

Cause: every process read the whole list every 2 s; its bytes grew by 72 a second for each process of the fleet, 1 MB every 2 s at the target size. Change: a process waits host_list_interval times the live members of its failure domain (at least an eighth of the fleet), with jitter, so that a failure domain reads the list about once an interval; what changed travels by gossip. "Leaving" that came by gossip counts as the list's word, so that a late reader does not hold it against the next life. Alternatives: a fixed reader by rank is cheaper to reason about but reads 1 MB every 2 s at the target; conditional reads are not in the platform's interface. Conclusion: flat as the fleet grows; by arithmetic 8 x 150 bytes / 2 s = 600 bytes a second at most for any size.

--- a/include/hibiscuswall/membership/gossip_service.hpp
+++ b/include/hibiscuswall/membership/gossip_service.hpp
@@ -11,6 +11,8 @@
 #include "hibiscuswall/membership/member_table.hpp"
 #include "hibiscuswall/platform/host_list_client.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace hibiscuswall {
 
 class gossip_service {
@@ -25,6 +27,7 @@
 
 private:
     auto host_list_loop() -> asio::awaitable<void>;
+    auto take_host_list(std::vector<member> hosts) -> void;
     auto exchange_loop() -> asio::awaitable<void>;
     auto exchange_with(member peer) -> asio::awaitable<void>;
     auto answer_exchange(nlohmann::json const& params) -> result<nlohmann::json>;
@@ -38,7 +41,9 @@
     config_service& config_;
     host_list_client& host_list_;
     membership_settings settings_;
-    bool listed_leaving_ = false; // the host list's last word about this process
+    asio::steady_timer until_list_; // ends early when a peer holds this process for leaving
+    bool host_list_read_ = false;   // once since the start
+    bool listed_leaving_ = false;   // the host list's last word about this process
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/membership/member_table.hpp
+++ b/include/hibiscuswall/membership/member_table.hpp
@@ -20,6 +20,13 @@
 
 namespace hibiscuswall {
 
+struct member_counts {
+    std::size_t alive = 0;             // without this process
+    std::size_t live = 0;              // alive, suspect or leaving
+    std::size_t dead = 0;              // not forgotten yet
+    std::size_t in_failure_domain = 0; // live ones of the failure domain asked for
+};
+
 class member_table : public member_source {
 public:
     explicit member_table(membership_settings settings = {}) : settings_{settings} {}
@@ -39,6 +46,8 @@
     // Names of members with a missed probe that are not dead yet; they are probed again every round.
     [[nodiscard]] auto doubtful() const -> std::vector<std::string>;
 
+    [[nodiscard]] auto counts(std::string_view failure_domain) const -> member_counts;
+
     // Up to count members: first those whose news was passed on least often, each a bounded number of times.
     auto news(std::size_t count) -> std::vector<member>;
 
--- a/include/hibiscuswall/membership/membership_settings.hpp
+++ b/include/hibiscuswall/membership/membership_settings.hpp
@@ -7,7 +7,8 @@
 
 struct membership_settings {
     milliseconds exchange_interval{1'000};  // "exchange_interval_ms": one exchange with one random peer
-    milliseconds host_list_interval{2'000}; // "host_list_interval_ms": between reads of the host list
+    milliseconds host_list_interval{2'000}; // "host_list_interval_ms": between reads of the host list by the
+                                            // processes of one failure domain together
     milliseconds peer_timeout{500};         // "peer_timeout_ms": one exchange
     milliseconds suspicion{5'000};          // "suspicion_ms": from suspect to dead
     milliseconds forget{60'000};            // "forget_ms": from dead or leaving to forgotten
--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -1,16 +1,20 @@
 #include "hibiscuswall/membership/gossip_service.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/membership/host_list_schedule.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
 namespace hibiscuswall {
 namespace {
 
+constexpr auto leaving_readers = std::size_t{1}; // bounds the time between reads of a host listed as leaving
 constexpr auto doubtful_per_round = std::size_t{4}; // further probes of members that missed one
 constexpr auto dead_probe_share = std::size_t{8};   // one round in this many also probes a dead member, so
                                                     // that regions find each other again
@@ -25,7 +29,8 @@
 
 gossip_service::gossip_service(process_context& context, member_table& table, config_service& config,
                                host_list_client& host_list, membership_settings settings)
-    : context_{context}, table_{table}, config_{config}, host_list_{host_list}, settings_{settings}
+    : context_{context}, table_{table}, config_{config}, host_list_{host_list}, settings_{settings},
+      until_list_{context.io}
 {
     context_.rpc.add("peer.exchange",
                      [this](nlohmann::json const& params) { return answer_exchange(params); });
@@ -49,24 +54,36 @@
 {
     while (true) {
         auto listed = co_await host_list_.hosts();
-        if (listed) {
-            auto hosts = std::move(listed).value();
-            auto const self = std::find_if(hosts.begin(), hosts.end(),
-                                           [&](auto const& host) { return host.name == context_.self.name; });
-            if (self != hosts.end()) {
-                auto const leaving = self->state == member_state::leaving;
-                // Peers hold this process for leaving by the list's word: a new incarnation takes it back.
-                if (listed_leaving_ && !leaving && context_.self.state == member_state::alive)
-                    ++context_.self.incarnation;
-                listed_leaving_ = leaving;
-                hosts.erase(self);
-            }
-            table_.merge_host_list(hosts, clock::now());
-        } else {
+        if (listed)
+            take_host_list(std::move(listed).value());
+        else
             context_.measures.count("host_list_failures_total");
-        }
-        co_await sleep_for(settings_.host_list_interval);
+        auto counts = table_.counts(context_.self.failure_domain);
+        // A host that is held for leaving must learn soon that the list takes it back: nobody else can tell
+        // it.
+        if (listed_leaving_) counts.in_failure_domain = std::min(counts.in_failure_domain, leaving_readers);
+        if (listed_leaving_ || !host_list_read_) counts.live = counts.in_failure_domain;
+        if (!host_list_read_) counts = {};
+        until_list_.expires_after(
+            host_list_delay(settings_.host_list_interval, counts, context_.random.fraction()));
+        co_await until_list_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+auto gossip_service::take_host_list(std::vector<member> hosts) -> void
+{
+    host_list_read_ = true;
+    auto const self = std::find_if(hosts.begin(), hosts.end(),
+                                   [&](auto const& host) { return host.name == context_.self.name; });
+    if (self != hosts.end()) {
+        auto const leaving = self->state == member_state::leaving;
+        // Peers hold this process for leaving by the list's word: a new incarnation takes it back.
+        if (listed_leaving_ && !leaving && context_.self.state == member_state::alive)
+            ++context_.self.incarnation;
+        listed_leaving_ = leaving;
+        hosts.erase(self);
     }
+    table_.merge_host_list(hosts, clock::now());
 }
 
 auto gossip_service::choose_peers() -> std::vector<member>
@@ -172,6 +189,12 @@
 
 auto gossip_service::hear_about_self(member const& report) -> void
 {
+    // The list may have said so; the next reads of it tell when it takes this process back.
+    if (report.state == member_state::leaving && report.incarnation == context_.self.incarnation &&
+        context_.self.state == member_state::alive && !listed_leaving_) {
+        listed_leaving_ = true;
+        until_list_.cancel();
+    }
     auto const raised = refuting_incarnation(context_.self, report);
     if (raised == context_.self.incarnation) return;
     context_.self.incarnation = raised;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -71,6 +71,7 @@
         auto& entry = rows_[report.name];
         entry.what = report;
         entry.since = now;
+        entry.listed_leaving = report.state == member_state::leaving;
         announce(entry);
         return true;
     }
@@ -84,6 +85,9 @@
     if (!newer && precedence(report.state) <= precedence(entry.what.state)) return false;
     if (entry.what.state != report.state || newer) entry.since = now;
     if (newer) entry.missed = 0;
+    // Processes read the list at different times: one that reads "leaving" later must not hold it against the
+    // next life of the process.
+    if (report.state == member_state::leaving) entry.listed_leaving = true;
     entry.what = report;
     entry.what.config_revision = revision;
     entry.passed_on = 0;
@@ -98,7 +102,6 @@
         auto found = rows_.find(host.name);
         if (found == rows_.end()) {
             merge(host, now);
-            rows_[host.name].listed_leaving = leaving;
             continue;
         }
         auto& entry = found->second;
@@ -181,6 +184,21 @@
     return list;
 }
 
+auto member_table::counts(std::string_view failure_domain) const -> member_counts
+{
+    auto sum = member_counts{};
+    for (auto const& [name, entry] : rows_) {
+        if (entry.what.state == member_state::dead) {
+            ++sum.dead;
+            continue;
+        }
+        ++sum.live;
+        if (entry.what.state == member_state::alive) ++sum.alive;
+        if (entry.what.failure_domain == failure_domain) ++sum.in_failure_domain;
+    }
+    return sum;
+}
+
 auto refuting_incarnation(member const& self, member const& report) -> std::uint64_t
 {
     if (report.name != self.name || report.incarnation < self.incarnation) return self.incarnation;
