Close idle connections to addresses that are not asked again

Cause: idle connections were closed only when their address was asked again. A process that exchanges with one random peer a second kept one for each peer it ever asked: sockets and buffers grow with the fleet, 7,120 sockets at the target size, over the usual limit of open files. Conclusion: idle connections are bounded by 30 s of exchanges.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -20,6 +20,7 @@
 constexpr auto awaitable_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto idle_connections_per_address = std::size_t{16};
 constexpr auto idle_connection_lifetime = seconds{30}; // below the server's idle timeout of 60 s
+constexpr auto idle_sweep_interval = seconds{1};       // between closings of idle connections
 constexpr auto piece_bytes = std::size_t{64 * 1024};
 
 struct connection {
@@ -79,6 +80,7 @@
     timeline* events = nullptr;
     std::map<address, std::vector<connection_ptr>> idle;
     traffic_by_purpose traffic;
+    time_point swept_at;
 
     state(asio::io_context& context, timeline* line) : io{context}, events{line} {}
 
@@ -101,8 +103,21 @@
         return nullptr;
     }
 
+    // An address that is not asked again, such as one of thousands of peers, would keep its connection for
+    // good.
+    auto sweep(time_point now) -> void
+    {
+        swept_at = now;
+        for (auto& [where, list] : idle)
+            std::erase_if(list, [&](auto const& held) {
+                return now - held->idle_since > idle_connection_lifetime || is_stale(*held);
+            });
+        std::erase_if(idle, [](auto const& item) { return item.second.empty(); });
+    }
+
     auto give_back(address const& where, connection_ptr held, time_point now) -> void
     {
+        if (now - swept_at >= idle_sweep_interval) sweep(now);
         auto& list = idle[where];
         if (list.size() >= idle_connections_per_address || held->buffer.size() > 0) return;
         held->stream.expires_never();
--- a/tests/integration/http_test.cpp
+++ b/tests/integration/http_test.cpp
@@ -141,3 +141,18 @@
         io.run_one();
     CHECK(saw_disconnect);
 }
+
+// Guards against a process that keeps a connection to every peer that it ever asked, thousands at the target
+// size.
+TEST(http, connections_that_the_other_side_closed_are_not_kept)
+{
+    limits.idle_timeout = milliseconds{50};
+    auto const elsewhere = free_address();
+    auto brief = http_server{io, routes, nullptr, limits};
+    CHECK(brief.listen(elsewhere).has_value());
+    CHECK(run(client.fetch(elsewhere, {"POST", "/echo", {}, "once"})).has_value());
+    CHECK_EQUAL(1U, client.idle_connections());
+    io.run_for(milliseconds{1'100});
+    CHECK(run(client.fetch(where, {"POST", "/echo", {}, "other"})).has_value());
+    CHECK_EQUAL(1U, client.idle_connections());
+}
