Compute the watcher's role only after a change of the member table

Cause: every process copied its member table and hashed the members of its failure domain five times a second to see whether it is to watch the store. Change: config_service does so only after the table announced a change. Conclusion: the cost follows the rate of changes instead of time.

--- a/include/hibiscuswall/config/config_service.hpp
+++ b/include/hibiscuswall/config/config_service.hpp
@@ -84,6 +84,7 @@
     config_writer writer_;
     std::vector<std::function<void(config_view const&)>> subscribers_;
     bool fetching_ = false;
+    bool members_changed_ = true; // since watch_loop() last computed whether this process watches
 };
 
 } // namespace hibiscuswall
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscuswall {
 namespace {
@@ -25,6 +26,7 @@
       state_{settings.pause_threshold}, writer_{store, settings}
 {
     add_methods();
+    members_.subscribe([this](member const& /*changed*/) { members_changed_ = true; });
 }
 
 auto config_service::start() -> void
@@ -121,10 +123,15 @@
 {
     auto delay = settings_.retry_delay;
     auto watching = false;
+    auto in_first_two = false;
     while (true) {
-        auto const known = members_.members();
-        auto const order = push_order(context_.self, known, context_.self.failure_domain);
-        auto const chosen = state_.document() && is_watcher(order, context_.self.name);
+        // One hash for each member of the failure domain: with 890 members, five times a second is too much.
+        if (std::exchange(members_changed_, false)) {
+            auto const known = members_.members();
+            auto const order = push_order(context_.self, known, context_.self.failure_domain);
+            in_first_two = is_watcher(order, context_.self.name);
+        }
+        auto const chosen = state_.document() && in_first_two;
         if (chosen != watching) {
             watching = chosen;
             context_.measures.set("config_watching", {}, watching ? 1 : 0);
