Exchange only news, in CBOR, and at once

Cause: each exchange carried four members in rotation in both directions as JSON-RPC, 1 KB each way every second whether or not anything had changed, and a change waited up to a second at every hop. Change: POST /exchange with CBOR arrays. A message carries changes that were passed on less than 8 times; a quiet table sends none. A digest of the table travels with each message: peers whose digests differ get four members in rotation. The answer leaves out its sender when the request named it rightly. Fresh changes are passed on after 250 ms instead of a second, within a budget of 1,000 bytes a second as a client. What only the host list says is no news. Bodies over 8 KB and nested CBOR are refused before they are parsed. peer.exchange is gone from the JSON-RPC methods.

--- a/include/hibiscuswall/membership/member_table.hpp
+++ b/include/hibiscuswall/membership/member_table.hpp
@@ -46,10 +46,24 @@
     // Names of members with a missed probe that are not dead yet; they are probed again every round.
     [[nodiscard]] auto doubtful() const -> std::vector<std::string>;
 
+    // Up to count changes that were not passed on often enough, the least often sent first. A quiet table has
+    // none. What only the host list says is no news: every process reads the list.
+    auto news(std::size_t count) -> std::vector<member>;
+
+    // Whether a change is new enough to pass on at once.
+    [[nodiscard]] auto has_fresh_news() const -> bool { return fresh_; }
+
+    // Up to count members in rotation, for a peer whose digest differs.
+    auto refresh(std::size_t count) -> std::vector<member>;
+
+    // Equal at two processes that hold the same members in the same state, each counting itself. Members
+    // known only from the host list or held for dead do not count.
+    [[nodiscard]] auto digest(member const& self) const -> std::uint64_t;
+
     [[nodiscard]] auto counts(std::string_view failure_domain) const -> member_counts;
 
-    // Up to count members: first those whose news was passed on least often, each a bounded number of times.
-    auto news(std::size_t count) -> std::vector<member>;
+    // The index-th member, in order of names, that is dead or that is not; null when there are fewer.
+    [[nodiscard]] auto nth(std::size_t index, bool dead) const -> member const*;
 
 private:
     struct row {
@@ -60,12 +74,17 @@
         bool listed_leaving = false; // the host list's last word
     };
 
+    auto note_change(row& entry) -> void;
     auto change_state(row& entry, member_state state, time_point now) -> void;
     auto announce(row const& entry) -> void;
 
     membership_settings settings_;
     std::map<std::string, row, std::less<>> rows_;
     std::vector<std::function<void(member const&)>> subscribers_;
+    std::string rotation_;               // name that refresh() gave last
+    bool fresh_ = false;                 // see has_fresh_news()
+    mutable std::uint64_t sum_ = 0;      // of the rows, for digest()
+    mutable bool sum_is_current_ = true; // false after a change
 };
 
 // What a process does about a report on itself: the incarnation that refutes it, or the present one.
--- /dev/null
+++ b/src/membership/exchange_message.cpp
@@ -0,0 +1,143 @@
+#include "hibiscuswall/membership/exchange_message.hpp"
+
+namespace hibiscuswall {
+namespace {
+
+using nlohmann::json;
+
+constexpr auto wire_version = 1;
+constexpr auto nesting_limit = 4;                      // message, list of members, member
+constexpr auto longest_age = 365LL * 24 * 3600 * 1000; // ms; keeps arithmetic on time points in range
+
+// Stops the parser at deep nesting, which it would follow by recursion, and at malformed input.
+class nesting_check final : public nlohmann::json_sax<json> {
+public:
+    auto null() -> bool override { return true; }
+    auto boolean(bool /*value*/) -> bool override { return true; }
+    auto number_integer(number_integer_t /*value*/) -> bool override { return true; }
+    auto number_unsigned(number_unsigned_t /*value*/) -> bool override { return true; }
+    auto number_float(number_float_t /*value*/, string_t const& /*text*/) -> bool override { return true; }
+    auto string(string_t& /*value*/) -> bool override { return true; }
+    auto binary(binary_t& /*value*/) -> bool override { return true; }
+    auto start_object(std::size_t /*elements*/) -> bool override { return false; } // there are none
+    auto key(string_t& /*value*/) -> bool override { return false; }
+    auto end_object() -> bool override { return false; }
+    auto start_array(std::size_t elements) -> bool override
+    {
+        // The parser makes room for the announced number before it reads the elements.
+        auto const unknown = elements == static_cast<std::size_t>(-1);
+        return ++depth_ <= nesting_limit && (unknown || elements <= exchange_bytes_limit);
+    }
+    auto end_array() -> bool override
+    {
+        --depth_;
+        return true;
+    }
+    auto parse_error(std::size_t /*position*/, std::string const& /*token*/,
+                     nlohmann::detail::exception const& /*problem*/) -> bool override
+    {
+        return false;
+    }
+
+private:
+    int depth_ = 0;
+};
+
+auto to_array(member const& value) -> json
+{
+    return json::array({value.name, static_cast<int>(value.role), value.control.text(), value.region,
+                        value.failure_domain, value.service, value.incarnation, static_cast<int>(value.state),
+                        value.config_revision});
+}
+
+auto state_from(json const& value) -> std::optional<member_state>
+{
+    auto const number = value.get<unsigned>();
+    if (!value.is_number_unsigned() || number > static_cast<unsigned>(member_state::dead))
+        return std::nullopt;
+    return static_cast<member_state>(number);
+}
+
+auto member_from(json const& value) -> std::optional<member>
+{
+    if (!value.is_array() || value.size() != 9) return std::nullopt;
+    auto parsed = member{};
+    parsed.name = value[0].get<std::string>();
+    auto const where = parse_address(value[2].get<std::string>());
+    auto const state = state_from(value[7]);
+    if (parsed.name.empty() || !where || !state) return std::nullopt;
+    parsed.role = value[1].get<unsigned>() == 0 ? member_role::entry : member_role::agent;
+    parsed.control = where.value();
+    parsed.region = value[3].get<std::string>();
+    parsed.failure_domain = value[4].get<std::string>();
+    parsed.service = value[5].get<std::string>();
+    parsed.incarnation = value[6].get<std::uint64_t>();
+    parsed.state = *state;
+    parsed.config_revision = value[8].get<std::uint64_t>();
+    return parsed;
+}
+
+auto addressee_from(json const& value) -> std::optional<addressee>
+{
+    if (!value.is_array() || value.size() != 3) return std::nullopt;
+    auto const state = state_from(value[2]);
+    if (!state) return std::nullopt;
+    return addressee{value[0].get<std::string>(), value[1].get<std::uint64_t>(), *state};
+}
+
+auto message_from(json const& value) -> std::optional<exchange_message>
+{
+    if (!value.is_array() || value.size() != 7 || value[0] != wire_version || !value[6].is_array())
+        return std::nullopt;
+    auto message = exchange_message{};
+    message.from = member_from(value[1]);
+    if (!value[1].is_null() && !message.from) return std::nullopt;
+    message.to = addressee_from(value[2]);
+    message.config_revision = value[3].get<std::uint64_t>();
+    if (value[4].is_number_unsigned()) {
+        auto const age = value[4].get<std::uint64_t>();
+        if (age <= static_cast<std::uint64_t>(longest_age))
+            message.confirmed_age = milliseconds{static_cast<long long>(age)};
+    }
+    message.digest = value[5].get<std::uint64_t>();
+    for (auto const& item : value[6])
+        if (auto report = member_from(item)) message.members.push_back(std::move(*report));
+    return message;
+}
+
+} // namespace
+
+auto encode(exchange_message message) -> std::string
+{
+    auto body = json::array(
+        {wire_version, nullptr, nullptr, message.config_revision, nullptr, message.digest, json::array()});
+    if (message.from) body[1] = to_array(*message.from);
+    if (message.to)
+        body[2] =
+            json::array({message.to->name, message.to->incarnation, static_cast<int>(message.to->state)});
+    if (message.confirmed_age) body[4] = std::max<long long>(message.confirmed_age->count(), 0);
+    for (auto const& item : message.members)
+        body[6].push_back(to_array(item));
+    auto text = std::string{};
+    json::to_cbor(body, text);
+    while (text.size() > exchange_bytes_limit && !body[6].empty()) {
+        body[6].erase(body[6].size() - 1);
+        text.clear();
+        json::to_cbor(body, text);
+    }
+    return text;
+}
+
+auto decode_exchange(std::string_view body) -> std::optional<exchange_message>
+{
+    if (body.size() > exchange_bytes_limit) return std::nullopt;
+    auto check = nesting_check{};
+    if (!json::sax_parse(body, &check, json::input_format_t::cbor)) return std::nullopt;
+    try {
+        return message_from(json::from_cbor(body));
+    } catch (json::exception const&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace hibiscuswall
--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -11,29 +11,36 @@
 
 #include <algorithm>
 
+// GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 namespace hibiscuswall {
 namespace {
 
-constexpr auto leaving_readers = std::size_t{1}; // bounds the time between reads of a host listed as leaving
 constexpr auto doubtful_per_round = std::size_t{4}; // further probes of members that missed one
 constexpr auto dead_probe_share = std::size_t{8};   // one round in this many also probes a dead member, so
                                                     // that regions find each other again
 
-auto revision_of(nlohmann::json const& message) -> std::uint64_t
-{
-    auto const found = message.find("config_revision");
-    return found != message.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
-}
+constexpr auto refreshed_members = std::size_t{4}; // sent to a peer whose digest differs
+constexpr auto header_bytes = std::size_t{160};    // of one exchange, both messages; for the budget
+constexpr auto leaving_readers = std::size_t{1}; // bounds the time between reads of a host listed as leaving
 
 } // namespace
 
 gossip_service::gossip_service(process_context& context, member_table& table, config_service& config,
                                host_list_client& host_list, membership_settings settings)
     : context_{context}, table_{table}, config_{config}, host_list_{host_list}, settings_{settings},
-      until_list_{context.io}
+      budget_{settings.exchange_bytes_per_second}, until_round_{context.io}, until_list_{context.io}
 {
-    context_.rpc.add("peer.exchange",
-                     [this](nlohmann::json const& params) { return answer_exchange(params); });
+    context_.control.add("POST", "/exchange",
+                         [this](http_request const& request, http_responder& out) -> asio::awaitable<void> {
+                             auto answer = http_response{400, {}, {}};
+                             if (auto const message = decode_exchange(request.body); message && message->from)
+                                 answer = http_response{200, {}, encode(answer_exchange(*message))};
+                             else
+                                 context_.measures.count("exchanges_malformed_total");
+                             co_await out.send(std::move(answer));
+                         });
     table_.subscribe([this](member const& changed) {
         auto const state = std::string{member_state_text(changed.state)};
         log_event(log_level::info, "member_changed",
@@ -41,6 +48,7 @@
                    {"state", state},
                    {"incarnation", std::to_string(changed.incarnation)}});
         context_.events.record("member_changed", {{"member", changed.name}, {"state", state}});
+        if (table_.has_fresh_news()) until_round_.cancel();
     });
 }
 
@@ -86,16 +94,19 @@
     table_.merge_host_list(hosts, clock::now());
 }
 
+auto gossip_service::any_live_peer() -> std::vector<member>
+{
+    auto const live = table_.counts({}).live;
+    auto const* chosen = table_.nth(context_.random.below(live), false);
+    return chosen == nullptr ? std::vector<member>{} : std::vector<member>{*chosen};
+}
+
 auto gossip_service::choose_peers() -> std::vector<member>
 {
-    auto live = std::vector<member>{};
-    auto dead = std::vector<member>{};
-    for (auto& peer : table_.members())
-        (peer.state == member_state::dead ? dead : live).push_back(std::move(peer));
-    auto chosen = std::vector<member>{};
-    if (!live.empty()) chosen.push_back(live[context_.random.below(live.size())]);
-    if (!dead.empty() && context_.random.below(dead_probe_share) == 0)
-        chosen.push_back(dead[context_.random.below(dead.size())]);
+    auto chosen = any_live_peer();
+    auto const dead = table_.counts({}).dead;
+    if (dead > 0 && context_.random.below(dead_probe_share) == 0)
+        chosen.push_back(*table_.nth(context_.random.below(dead), true));
     auto doubtful = table_.doubtful();
     std::shuffle(doubtful.begin(), doubtful.end(), context_.random.engine());
     if (doubtful.size() > doubtful_per_round) doubtful.resize(doubtful_per_round);
@@ -109,82 +120,124 @@
 auto gossip_service::exchange_loop() -> asio::awaitable<void>
 {
     while (true) {
-        auto const now = clock::now();
-        table_.expire(now);
-        auto alive = 0;
-        for (auto const& peer : table_.members())
-            if (peer.state == member_state::alive) ++alive;
-        context_.measures.set("members_alive", {}, alive);
+        table_.expire(clock::now());
+        auto const alive = table_.counts({}).alive;
+        context_.measures.set("members_alive", {}, static_cast<double>(alive));
         for (auto const& peer : choose_peers())
             asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
-        // The jitter keeps processes that started together from exchanging in step.
+        // Early rounds only pass on news: missed probes are counted at the pace of the regular ones.
+        while (co_await wait_for_round())
+            for (auto const& peer : any_live_peer())
+                asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
+    }
+}
+
+// Waits for the next round; true when it is an early one.
+auto gossip_service::wait_for_round() -> asio::awaitable<bool>
+{
+    auto const now = clock::now();
+    // The jitter keeps processes that started together from exchanging in step.
+    if (now >= regular_at_) {
         auto const interval = settings_.exchange_interval.count();
         auto const jitter =
             static_cast<long long>(context_.random.below(static_cast<std::size_t>(interval) / 5 + 1));
-        co_await sleep_for(milliseconds{interval - interval / 10 + jitter});
+        regular_at_ = now + milliseconds{interval - interval / 10 + jitter};
+    }
+    auto const pause = std::chrono::ceil<milliseconds>(regular_at_ - now);
+    co_await sleep_for(std::min(settings_.news_interval, pause));
+    while (clock::now() < regular_at_) {
+        if (table_.has_fresh_news() && budget_.allows(clock::now())) co_return true;
+        until_round_.expires_at(regular_at_);
+        co_await until_round_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
+    co_return false;
 }
 
 auto gossip_service::exchange_with(member peer) -> asio::awaitable<void>
 {
     auto const asked_at = clock::now();
-    auto answer = co_await rpc_call(context_.client, peer.control, "peer.exchange", message_for(peer.name),
-                                    settings_.peer_timeout);
-    context_.measures.count("exchanges_total", {{"result", answer ? "ok" : "failed"}});
+    auto message = message_for(peer.name);
+    message.from = context_.self;
+    message.to = addressee{peer.name, peer.incarnation, peer.state};
+    auto request = http_request{"POST", "/exchange", {}, encode(std::move(message))};
+    auto const request_bytes = request.body.size();
+    auto options = http_call_options{};
+    options.timeout = settings_.peer_timeout;
+    options.connect_timeout = settings_.peer_timeout;
+    options.body_limit = exchange_bytes_limit;
+    options.purpose = "peer.exchange";
+    auto response = co_await context_.client.fetch(peer.control, std::move(request), options);
     auto const now = clock::now();
+    auto answer = std::optional<exchange_message>{};
+    if (response && response.value().status == 200) answer = decode_exchange(response.value().body);
+    context_.measures.count("exchanges_total", {{"result", answer ? "ok" : "failed"}});
     if (!answer) {
         table_.probe_missed(peer.name, now);
         co_return;
     }
-    auto const& body = answer.value();
-    if (!body.is_object() || !body.contains("from")) co_return;
-    if (auto const sender = member_from_json(body["from"])) {
-        // A replaced host may answer at the address of another name.
-        if (sender->name != peer.name) table_.probe_missed(peer.name, now);
-        if (sender->name != context_.self.name) table_.probe_answered(*sender, now);
-    }
-    take_members(body, now);
-    config_.heard_from(peer.control, revision_of(body), confirmed_age_in(body), asked_at);
+    budget_.spend(request_bytes + response.value().body.size() + header_bytes, now);
+    take_answer(peer, *answer, asked_at);
+}
+
+auto gossip_service::take_answer(member const& peer, exchange_message const& answer, time_point asked_at)
+    -> void
+{
+    auto const now = clock::now();
+    // Without a sender the process is the one that was asked, with the incarnation and state known here.
+    auto sender = answer.from.value_or(peer);
+    sender.config_revision = answer.config_revision;
+    // A replaced host may answer at the address of another name.
+    if (sender.name != peer.name) table_.probe_missed(peer.name, now);
+    if (sender.name != context_.self.name) table_.probe_answered(sender, now);
+    take_members(answer, now);
+    config_.heard_from(peer.control, answer.config_revision, answer.confirmed_age, asked_at);
 }
 
-auto gossip_service::answer_exchange(nlohmann::json const& params) -> result<nlohmann::json>
+auto gossip_service::answer_exchange(exchange_message const& request) -> exchange_message
 {
-    auto const sender = params.contains("from") ? member_from_json(params["from"]) : std::nullopt;
-    if (!sender) return fail(result_code::request_malformed, "from: is not a member");
+    auto const& sender = *request.from;
     auto const now = clock::now();
-    auto answer = nlohmann::json{};
-    take_members(params, now); // before the answer: it may raise our incarnation
+    take_members(request, now); // before the answer: it may raise our incarnation
     // What we hold about the sender goes back to it even when its report replaces it, so that it can refute.
-    answer = message_for(sender->name);
-    if (sender->name != context_.self.name) table_.probe_answered(*sender, now);
-    config_.heard_from(sender->control, revision_of(params), confirmed_age_in(params), now);
+    auto answer = message_for(sender.name);
+    auto const& self = context_.self;
+    auto const& to = request.to;
+    auto const known =
+        to && to->name == self.name && to->incarnation == self.incarnation && to->state == self.state;
+    if (!known) answer.from = self;
+    if (sender.name != self.name) table_.probe_answered(sender, now);
+    config_.heard_from(sender.control, request.config_revision, request.confirmed_age, now);
     return answer;
 }
 
-auto gossip_service::message_for(std::string const& peer_name) -> nlohmann::json
+auto gossip_service::message_for(std::string const& peer_name) -> exchange_message
 {
-    auto list = nlohmann::json::array();
+    auto message = exchange_message{};
     if (auto const* held = table_.find(peer_name); held != nullptr && held->state != member_state::alive)
-        list.push_back(to_json(*held));
-    for (auto const& item : table_.news(static_cast<std::size_t>(settings_.members_per_exchange)))
-        if (item.name != peer_name) list.push_back(to_json(item));
-    auto message = nlohmann::json{{"from", to_json(context_.self)}, {"members", std::move(list)}};
-    config_.describe_to_peer(message, clock::now());
+        message.members.push_back(*held);
+    auto const add = [&](std::vector<member> list) {
+        for (auto& item : list)
+            if (item.name != peer_name) message.members.push_back(std::move(item));
+    };
+    add(table_.news(static_cast<std::size_t>(settings_.members_per_exchange)));
+    message.digest = table_.digest(context_.self);
+    if (peer_differs_) add(table_.refresh(refreshed_members));
+    auto described = nlohmann::json::object();
+    config_.describe_to_peer(described, clock::now());
+    message.config_revision = described["config_revision"].get<std::uint64_t>();
+    message.confirmed_age = confirmed_age_in(described);
     return message;
 }
 
-auto gossip_service::take_members(nlohmann::json const& message, time_point now) -> void
+auto gossip_service::take_members(exchange_message const& message, time_point now) -> void
 {
-    auto const found = message.find("members");
-    if (found == message.end() || !found->is_array()) return;
-    for (auto const& item : *found) {
-        auto const report = member_from_json(item);
-        if (!report) continue;
-        if (report->name == context_.self.name)
-            hear_about_self(*report);
+    for (auto const& report : message.members) {
+        if (report.name == context_.self.name)
+            hear_about_self(report);
         else
-            table_.merge(*report, now);
+            table_.merge(report, now);
     }
+    peer_differs_ = message.digest != table_.digest(context_.self);
 }
 
 auto gossip_service::hear_about_self(member const& report) -> void
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -1,14 +1,19 @@
 #include "hibiscuswall/membership/member_table.hpp"
 
+#include <boost/crc.hpp>
+
 #include <algorithm>
 
 namespace hibiscuswall {
 namespace {
 
-// A change is sent this many times by each process before it waits for its turn like any other entry:
-// with one exchange a second and the same from every receiver, it reaches thousands of processes.
+// A change is sent this many times by each process: with the same from every receiver, it reaches thousands
+// of processes.
 constexpr auto retransmit_limit = 8;
 
+// Sent this many times at once, in exchanges of their own; the others go with regular exchanges.
+constexpr auto fresh_limit = 3;
+
 // Between reports of one incarnation. A leaving host stays leaving whatever a probe or a rumour says.
 auto precedence(member_state state) -> int
 {
@@ -25,6 +30,17 @@
     return 0;
 }
 
+// Sums of this are equal on every process, so it must not depend on the platform's std::hash.
+auto row_hash(member const& what) -> std::uint64_t
+{
+    if (what.incarnation == 0 || what.state == member_state::dead) return 0;
+    auto crc = boost::crc_optimal<64, 0x42F0E1EBA9EA3693U, 0, 0, true, true>{};
+    auto const leaving = what.state == member_state::leaving ? '1' : '0';
+    auto const text = what.name + '\x1f' + std::to_string(what.incarnation) + leaving;
+    crc.process_bytes(text.data(), text.size());
+    return crc.checksum();
+}
+
 } // namespace
 
 auto member_table::members() const -> std::vector<member>
@@ -54,12 +70,19 @@
         notify(copy);
 }
 
+auto member_table::note_change(row& entry) -> void
+{
+    entry.passed_on = 0;
+    fresh_ = true;
+    sum_is_current_ = false;
+}
+
 auto member_table::change_state(row& entry, member_state state, time_point now) -> void
 {
     if (entry.what.state == state) return;
     entry.what.state = state;
     entry.since = now;
-    entry.passed_on = 0;
+    note_change(entry);
     announce(entry);
 }
 
@@ -72,6 +95,7 @@
         entry.what = report;
         entry.since = now;
         entry.listed_leaving = report.state == member_state::leaving;
+        note_change(entry);
         announce(entry);
         return true;
     }
@@ -85,12 +109,15 @@
     if (!newer && precedence(report.state) <= precedence(entry.what.state)) return false;
     if (entry.what.state != report.state || newer) entry.since = now;
     if (newer) entry.missed = 0;
+    // The others know a host of the list as well and learn its incarnation as this process did.
+    auto const is_news = entry.what.incarnation != 0 || report.state != member_state::alive;
+    entry.what = report;
+    entry.what.config_revision = revision;
     // Processes read the list at different times: one that reads "leaving" later must not hold it against the
     // next life of the process.
     if (report.state == member_state::leaving) entry.listed_leaving = true;
-    entry.what = report;
-    entry.what.config_revision = revision;
-    entry.passed_on = 0;
+    sum_is_current_ = false;
+    if (is_news) note_change(entry);
     announce(entry);
     return true;
 }
@@ -101,7 +128,13 @@
         auto const leaving = host.state == member_state::leaving;
         auto found = rows_.find(host.name);
         if (found == rows_.end()) {
-            merge(host, now);
+            auto& added = rows_[host.name];
+            added.what = host;
+            added.since = now;
+            added.listed_leaving = leaving;
+            added.passed_on = retransmit_limit;
+            sum_is_current_ = false;
+            announce(added);
             continue;
         }
         auto& entry = found->second;
@@ -145,9 +178,10 @@
         auto& entry = at->second;
         if (entry.what.state == member_state::suspect && now - entry.since >= settings_.suspicion)
             change_state(entry, member_state::dead, now);
-        if (entry.what.state == member_state::dead && now - entry.since >= settings_.forget)
+        if (entry.what.state == member_state::dead && now - entry.since >= settings_.forget) {
             at = rows_.erase(at);
-        else
+            sum_is_current_ = false;
+        } else
             ++at;
     }
 }
@@ -164,26 +198,43 @@
 {
     auto order = std::vector<row*>{};
     for (auto& [name, entry] : rows_)
-        order.push_back(&entry);
-    // Once every change was sent often enough, the counts go on rising and the entries take turns.
+        if (entry.passed_on < retransmit_limit) order.push_back(&entry);
     auto const wanted = std::min(count, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(wanted), order.end(),
                       [](row const* left, row const* right) { return left->passed_on < right->passed_on; });
-    order.resize(wanted);
     auto list = std::vector<member>{};
-    for (auto* entry : order) {
-        ++entry->passed_on;
-        list.push_back(entry->what);
+    for (auto i = std::size_t{0}; i < wanted; ++i) {
+        ++order[i]->passed_on;
+        list.push_back(order[i]->what);
     }
-    auto const all_sent = std::all_of(rows_.begin(), rows_.end(), [](auto const& item) {
-        return item.second.passed_on > retransmit_limit;
-    });
-    if (all_sent)
-        for (auto& [name, entry] : rows_)
-            entry.passed_on = retransmit_limit;
+    fresh_ = std::any_of(order.begin(), order.end(),
+                         [](row const* entry) { return entry->passed_on < fresh_limit; });
     return list;
 }
 
+auto member_table::refresh(std::size_t count) -> std::vector<member>
+{
+    auto list = std::vector<member>{};
+    auto at = rows_.upper_bound(rotation_);
+    for (auto looked = std::size_t{0}; looked < rows_.size() && list.size() < count; ++looked, ++at) {
+        if (at == rows_.end()) at = rows_.begin();
+        rotation_ = at->first;
+        if (at->second.what.incarnation != 0) list.push_back(at->second.what);
+    }
+    return list;
+}
+
+auto member_table::digest(member const& self) const -> std::uint64_t
+{
+    if (!sum_is_current_) {
+        sum_ = 0;
+        for (auto const& [name, entry] : rows_)
+            sum_ += row_hash(entry.what);
+        sum_is_current_ = true;
+    }
+    return sum_ + row_hash(self);
+}
+
 auto member_table::counts(std::string_view failure_domain) const -> member_counts
 {
     auto sum = member_counts{};
@@ -199,6 +250,15 @@
     return sum;
 }
 
+auto member_table::nth(std::size_t index, bool dead) const -> member const*
+{
+    for (auto const& [name, entry] : rows_) {
+        if ((entry.what.state == member_state::dead) != dead) continue;
+        if (index-- == 0) return &entry.what;
+    }
+    return nullptr;
+}
+
 auto refuting_incarnation(member const& self, member const& report) -> std::uint64_t
 {
     if (report.name != self.name || report.incarnation < self.incarnation) return self.incarnation;
