Relay events that arrive together in one write

Cause: a read of a chunked answer stopped after each chunk, and the entry wrote each event by itself, so that every event cost its own reads, timers and system calls although many were in the buffer.

Order, gaps and the end of a stream are judged event by event as before.

Test: calls_stream.a_stream_never_goes_on_with_another_version changed the version from a coroutine whose closure died with the test's body; the faster stream ended first and the test crashed. The agent now changes its version when the stream is cut, so that the mismatch is met every time, and the test also requires the stream to end with an error. New: http.chunks_that_arrive_together_are_one_piece.

--- a/src/calls/call_run.hpp
+++ b/src/calls/call_run.hpp
@@ -33,6 +33,11 @@
         skip,   // the caller has it already
         broken, // the stream cannot go on from here; last_ says why
     };
+    struct event_run {
+        std::string text;    // events that arrived together and leave in one write
+        bool broken = false; // the stream cannot go on after them; last_ says why
+        bool done = false;   // the last one ends the stream
+    };
     enum class reply {
         not_run, // never seen, and refused should it still arrive
         running,
@@ -60,6 +65,7 @@
         -> asio::awaitable<attempt_end>;
     auto relay_events(call_attempt attempt, std::unique_ptr<http_stream> answer)
         -> asio::awaitable<attempt_end>;
+    auto take_events(std::span<stream_event const> events) -> event_run;
     auto judge_event(stream_event const& event) -> event_use;
     auto note_forwarded(call_attempt const& attempt) const -> void;
     auto note_foreign(call_attempt const& attempt, http_headers const& headers) const -> void;
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -193,29 +193,42 @@
         if (!piece.value()) break;
         if (clock::now() >= call_.deadline)
             co_return stream_cut(attempt, fail(result_code::deadline_exceeded, "the deadline passed"));
-        auto events = parser.feed(*piece.value());
-        for (auto& event : events) {
-            auto const use = judge_event(event);
-            if (use == event_use::broken) co_return stream_cut(attempt, last_);
-            if (use == event_use::skip) continue;
-            auto const written = co_await out_.write(event.text);
-            if (!written) {
-                watch_->gone = true;
-                co_return stream_cut(attempt, last_);
-            }
-            if (event.id) last_event_ = *event.id;
-            if (event.type != "done") continue;
-            watch_->open = nullptr;
-            services_->router.on_finished(attempt.host.name);
-            machine_.process(call_event::answered);
-            co_await out_.finish();
-            note_result("streamed");
-            co_return attempt_end::done;
+        auto const events = parser.feed(*piece.value());
+        auto const taken = take_events(events);
+        auto const written = co_await out_.write(taken.text);
+        if (!written) {
+            watch_->gone = true;
+            co_return stream_cut(attempt, last_);
         }
+        if (taken.broken) co_return stream_cut(attempt, last_);
+        if (!taken.done) continue;
+        watch_->open = nullptr;
+        services_->router.on_finished(attempt.host.name);
+        machine_.process(call_event::answered);
+        co_await out_.finish();
+        note_result("streamed");
+        co_return attempt_end::done;
     }
     co_return stream_cut(attempt, fail(result_code::answer_cut, "the stream ended without its last event"));
 }
 
+// The events that the caller gets next, up to the end of the stream or the first one that breaks it.
+auto call_run::take_events(std::span<stream_event const> events) -> event_run
+{
+    auto taken = event_run{};
+    for (auto const& event : events) {
+        auto const use = judge_event(event);
+        if (use == event_use::skip) continue;
+        taken.broken = use == event_use::broken;
+        if (taken.broken) break;
+        taken.text += event.text;
+        if (event.id) last_event_ = *event.id;
+        taken.done = event.type == "done";
+        if (taken.done) break;
+    }
+    return taken;
+}
+
 auto call_run::judge_event(stream_event const& event) -> event_use
 {
     if (event.type == "error") {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -171,6 +171,7 @@
                                                                parser_, awaitable_tuple);
             client_->received += size;
             if (code && code != http::error::need_buffer) co_return transport_error(code, where_);
+            if (auto const bad = take_buffered()) co_return transport_error(bad, where_);
             auto const filled = piece_bytes - parser_.get().body().size;
             if (filled > 0) co_return std::optional{std::string(piece.get(), filled)};
         }
@@ -195,6 +196,22 @@
     }
 
 private:
+    // A read stops after one chunk. Chunks that arrived with it join the piece, as far as there is room.
+    auto take_buffered() -> boost::system::error_code
+    {
+        auto& body = parser_.get().body();
+        while (!parser_.is_done() && body.size > 0 && connection_->buffer.size() > 0) {
+            auto code = boost::system::error_code{};
+            auto const used = parser_.put(connection_->buffer.data(), code);
+            connection_->buffer.consume(used);
+            client_->received += used;
+            if (code == http::error::need_more || code == http::error::need_buffer) break;
+            if (code) return code;
+            if (used == 0) break;
+        }
+        return {};
+    }
+
     auto set_expiry() -> void
     {
         if (deadline_)
--- a/tests/integration/call_handler_test.cpp
+++ b/tests/integration/call_handler_test.cpp
@@ -91,6 +91,7 @@
     bool saw_disconnect = false;
     std::string version = "v1";
     std::string last_event_id;
+    std::function<void()> after_cut; // of a stream
     std::unique_ptr<http_server> server;
 
     explicit played_agent(std::string given) : name{std::move(given)}
@@ -186,6 +187,7 @@
                 // Half an event, as a killed process leaves it.
                 co_await out.write("id: 4\nda");
                 out.abort();
+                if (after_cut) after_cut();
                 co_return;
             }
             auto const text = "id: " + std::to_string(event) + "\ndata: " + pinned + "\n\n";
@@ -452,17 +454,13 @@
     for (auto* agent : {&one, &two})
         agent->plan = {behaviour::cut_stream};
     // The version changes at both agents once the first part is out.
-    auto const change = [this]() -> asio::awaitable<void> {
-        while (one.received + two.received == 0)
-            co_await sleep_for(milliseconds{1});
-        one.version = two.version = "v2";
-    };
-    asio::co_spawn(io, change(), asio::detached);
+    one.after_cut = two.after_cut = [this] { one.version = two.version = "v2"; };
     one.plan.insert(one.plan.begin(), behaviour::cut_stream);
     auto const text = stream();
     auto const has_both =
         text.find("data: v1") != std::string::npos && text.find("data: v2") != std::string::npos;
     CHECK(!has_both);
+    CHECK(text.find("event: error") != std::string::npos);
     auto const complete = text.find("event: done") != std::string::npos;
     CHECK(complete != (text.find("event: error") != std::string::npos));
 }
--- a/tests/integration/http_test.cpp
+++ b/tests/integration/http_test.cpp
@@ -10,6 +10,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
 #include <future>
 
 #include <CppUTest/TestHarness.h>
@@ -31,6 +34,15 @@
     return answer;
 }
 
+// Takes one connection, reads a request and answers with these bytes at once.
+auto answer_raw(asio::ip::tcp::acceptor& acceptor, std::string bytes) -> asio::awaitable<void>
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    auto request = std::array<char, 1024>{};
+    co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+}
+
 } // namespace
 
 TEST_GROUP(http)
@@ -141,3 +153,23 @@
         io.run_one();
     CHECK(saw_disconnect);
 }
+
+// Guards against one write for each event although many came at once, and against a broken chunk behind good
+// ones that passes for the end of the answer.
+TEST(http, chunks_that_arrive_together_are_one_piece)
+{
+    auto acceptor = asio::ip::tcp::acceptor{io, {asio::ip::make_address(where.ip), free_address().port}};
+    auto const at = address{where.ip, acceptor.local_endpoint().port()};
+    auto const answer_with = [&](std::string const& chunks) {
+        auto bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
+        asio::co_spawn(io, answer_raw(acceptor, std::move(bytes)), asio::detached);
+    };
+    answer_with("3\r\none\r\n3\r\ntwo\r\n5\r\nthree\r\n0\r\n\r\n");
+    auto whole = run_coroutine(io, client.open(at, {"GET", "/", {}, {}}, {}));
+    auto const first = run_coroutine(io, whole.value()->read());
+    STRCMP_EQUAL("onetwothree", first.value().value().c_str());
+    CHECK(!run_coroutine(io, whole.value()->read()).value().has_value());
+
+    answer_with("3\r\none\r\nzz\r\n");
+    CHECK(!run_coroutine(io, client.fetch(at, {"GET", "/", {}, {}}, {})).has_value());
+}
