Write out a claim bucket once for each swap

Cause: fit() and the swap after it each serialised the whole bucket. Near the limit of 900 KB this takes milliseconds on the network thread, and every read parses the bucket as well.

Change: the bucket keeps its text until its next change. A unit test guards against a text that is older than the claims.

--- a/include/hibiscuswall/calls/claim_bucket.hpp
+++ b/include/hibiscuswall/calls/claim_bucket.hpp
@@ -48,7 +48,7 @@
     [[nodiscard]] auto text() const -> std::string;
 
     [[nodiscard]] auto find(std::string_view key) const -> claim const*;
-    auto set(std::string key, claim value) -> void { claims_[std::move(key)] = std::move(value); }
+    auto set(std::string key, claim value) -> void;
 
     // Forgets claims older than lifetime.
     auto drop_expired(long long now_ms, milliseconds lifetime) -> void;
@@ -61,6 +61,7 @@
 
 private:
     std::map<std::string, claim, std::less<>> claims_; // by "account/idempotency key"
+    mutable std::string text_;                         // of claims_; empty: not made yet
 };
 
 } // namespace hibiscuswall
--- a/src/calls/claim_bucket.cpp
+++ b/src/calls/claim_bucket.cpp
@@ -67,12 +67,22 @@
     return bucket;
 }
 
+// Kept until the next change: fit() and the swap after it need the same text, and a bucket near its limit
+// takes milliseconds to write out.
 auto claim_bucket::text() const -> std::string
 {
+    if (!text_.empty()) return text_;
     auto document = json::object();
     for (auto const& [key, value] : claims_)
         document[key] = to_json(value);
-    return document.dump();
+    text_ = document.dump();
+    return text_;
+}
+
+auto claim_bucket::set(std::string key, claim value) -> void
+{
+    claims_[std::move(key)] = std::move(value);
+    text_.clear();
 }
 
 auto claim_bucket::find(std::string_view key) const -> claim const*
@@ -84,6 +94,7 @@
 auto claim_bucket::drop_expired(long long now_ms, milliseconds lifetime) -> void
 {
     std::erase_if(claims_, [&](auto const& entry) { return now_ms - entry.second.at_ms > lifetime.count(); });
+    text_.clear();
 }
 
 auto claim_bucket::fit(std::size_t limit) -> bool
@@ -100,6 +111,7 @@
         size -= std::min(size, json(value->answer->body).dump().size());
         value->answer.reset();
     }
+    text_.clear();
     return text().size() <= limit;
 }
 
--- a/tests/unit/calls_test.cpp
+++ b/tests/unit/calls_test.cpp
@@ -113,6 +113,22 @@
     CHECK(bucket.find("a/new") != nullptr);
 }
 
+// Guards against a swap that writes an earlier text of the bucket, which would lose a claim.
+TEST(claim_bucket, the_text_follows_every_change)
+{
+    auto bucket = claim_bucket{};
+    bucket.set("a/old", make("c", 0, 100));
+    CHECK(claim_bucket::parse(bucket.text())->find("a/old") != nullptr);
+    bucket.set("a/new", make("d", 900, 100));
+    CHECK(claim_bucket::parse(bucket.text())->find("a/new") != nullptr);
+    bucket.set("a/new", make("e", 901, 100));
+    STRCMP_EQUAL("e", claim_bucket::parse(bucket.text())->find("a/new")->call_id.c_str());
+    bucket.fit(1);
+    CHECK(!claim_bucket::parse(bucket.text())->find("a/new")->answer.has_value());
+    bucket.drop_expired(1'001, milliseconds{1'000});
+    CHECK(claim_bucket::parse(bucket.text())->find("a/old") == nullptr);
+}
+
 TEST_GROUP(event_parser){};
 
 // Guards against half an event that is relayed before the stream is cut.
