Share the rate at which a region draws among its drawing hosts

Cause: the hosts of a region draw about one copy together, each as fast as it can; a region that reaches the source over the 23 Mbit/s between two regions could fill that link.

Change: region_draw_rate (bytes a second, 0: no limit) is divided by the number of hosts that draw now, worked out on each host from what it knows of its peers' chunks and of who is late. The host waits before it asks for a chunk. Decision with made-up times in chunk_plan (drawing_hosts, draw_share); a cancelled transfer draws nothing more.

--- a/include/hibiscuswall/weights/chunk_plan.hpp
+++ b/include/hibiscuswall/weights/chunk_plan.hpp
@@ -15,6 +15,7 @@
 #include "hibiscuswall/weights/manifest.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -72,6 +73,10 @@
     // Store and origin are left alone until then.
     auto pause_source(time_point until) -> void { source_until_ = until; }
 
+    // How many hosts of the region, this one included, draw chunks now as far as is known here. Late news of
+    // a peer's chunks make it too high, never too low, while the hosts agree on who is late.
+    [[nodiscard]] auto drawing_hosts(time_point now) const -> std::size_t;
+
     // Up to count peers whose holdings are worth asking for, those known for the longest time first.
     [[nodiscard]] auto peers_to_ask(std::size_t count, time_point now) const -> std::vector<std::string>;
 
@@ -122,4 +127,7 @@
     time_point source_until_;
 };
 
+// A host's part, in bytes a second, of the rate at which its region may draw; 0 (no limit) stays 0.
+[[nodiscard]] auto draw_share(std::uint64_t region_rate, std::size_t drawing_hosts) -> std::uint64_t;
+
 } // namespace hibiscuswall
--- a/include/hibiscuswall/weights/link_budget.hpp
+++ b/include/hibiscuswall/weights/link_budget.hpp
@@ -23,6 +23,9 @@
     // rate in bytes a second, 0: unlimited; burst in bytes.
     token_bucket(std::uint64_t rate, std::uint64_t burst, time_point now);
 
+    // From now on; what is owed stays owed.
+    auto set_rate(std::uint64_t rate, time_point now) -> void;
+
     // Takes the bytes, into debt if need be.
     auto take(std::uint64_t bytes, time_point now) -> void;
 
@@ -50,6 +53,7 @@
 public:
     link_budget(boost::asio::io_context& io, std::uint64_t rate, std::uint64_t burst);
 
+    auto set_rate(std::uint64_t rate) -> void; // 0: unlimited
     auto live(std::uint64_t bytes) -> void;
     auto bulk(std::uint64_t bytes) -> boost::asio::awaitable<void>;
 
--- a/include/hibiscuswall/weights/transfer.hpp
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -31,6 +31,7 @@
     verifier& digests;
     weight_source_client& source;
     link_budget& download;
+    link_budget& draw; // this host's part of what its region draws
 };
 
 class transfer : public std::enable_shared_from_this<transfer> {
--- a/include/hibiscuswall/weights/weights_service.hpp
+++ b/include/hibiscuswall/weights/weights_service.hpp
@@ -84,6 +84,7 @@
     weight_source_client source_;
     link_budget upload_;
     link_budget download_;
+    link_budget draw_;
     chunk_server server_;
     transfer_parts parts_;
     std::optional<activation> activation_;
--- a/include/hibiscuswall/weights/weights_settings.hpp
+++ b/include/hibiscuswall/weights/weights_settings.hpp
@@ -12,6 +12,8 @@
     std::uint64_t staged_bytes = std::uint64_t{8} << 30U; // "staged_bytes": limit of staged weights
     std::uint64_t upload_rate = 0;      // "upload_rate": bytes a second of this host's link, 0: no limit
     std::uint64_t download_rate = 0;    // "download_rate": the same, towards this host
+    std::uint64_t region_draw_rate = 0; // "region_draw_rate": bytes a second that all hosts of the region
+                                        // together draw from store and origin, 0: no limit
     std::uint64_t burst = 64 * 1024;    // "burst_bytes": of either direction
     std::size_t upload_slots = 6;       // "upload_slots": chunks sent at a time; others get "busy"
     bool peers = true;                  // "peers": false fetches all from the source (the baseline)
--- a/src/weights/chunk_plan.cpp
+++ b/src/weights/chunk_plan.cpp
@@ -3,6 +3,7 @@
 #include "hibiscuswall/core/rendezvous.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace hibiscuswall {
 namespace {
@@ -119,6 +120,25 @@
     return false;
 }
 
+auto chunk_plan::drawing_hosts(time_point now) const -> std::size_t
+{
+    auto names = std::set<std::string_view>{self_};
+    for (auto const& chunk : chunks_) {
+        if (chunk.held || chunk.holders > 0) continue;
+        auto const drawer = std::find_if(chunk.rank.begin(), chunk.rank.end(), [&](auto const& host) {
+            return host == self_ || !is_late(host, now);
+        });
+        if (drawer != chunk.rank.end()) names.insert(*drawer);
+    }
+    return names.size();
+}
+
+auto draw_share(std::uint64_t region_rate, std::size_t drawing_hosts) -> std::uint64_t
+{
+    if (region_rate == 0) return 0;
+    return std::max<std::uint64_t>(1, region_rate / std::max<std::size_t>(1, drawing_hosts));
+}
+
 auto chunk_plan::next(time_point now, random_source& random) -> std::optional<chunk_fetch>
 {
     count_holders(now);
--- a/src/weights/link_budget.cpp
+++ b/src/weights/link_budget.cpp
@@ -29,6 +29,12 @@
     last_ = std::max(last_, now);
 }
 
+auto token_bucket::set_rate(std::uint64_t rate, time_point now) -> void
+{
+    refill(now);
+    rate_ = static_cast<double>(rate);
+}
+
 auto token_bucket::take(std::uint64_t bytes, time_point now) -> void
 {
     refill(now);
@@ -63,6 +69,12 @@
 {
 }
 
+auto link_budget::set_rate(std::uint64_t rate) -> void
+{
+    bucket_.set_rate(rate, clock::now());
+    limited_ = rate > 0;
+}
+
 auto link_budget::live(std::uint64_t bytes) -> void
 {
     if (!limited_) return;
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -219,6 +219,10 @@
 auto transfer::from_source(std::size_t chunk, address& sender) -> asio::awaitable<fetched>
 {
     auto const entry = version_->chunks[chunk];
+    // Before the request: what is under way to this host already loads the link between the regions.
+    parts_.draw.set_rate(draw_share(parts_.settings.region_draw_rate, plan_.drawing_hosts(clock::now())));
+    co_await parts_.draw.bulk(entry.size);
+    if (cancelled_) co_return fetch_failure::limited;
     auto opened =
         co_await parts_.source.open_chunk(entry.sha256, entry.size, parts_.settings.plan.progress_deadline);
     if (!opened) {
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -36,11 +36,12 @@
                                  std::vector<address> sources, weights_settings settings)
     : context_{context}, config_{config}, members_{members}, engine_{engine}, gate_{gate},
       settings_{settings}, chunks_{settings.staged_bytes}, digests_{context.io},
-      source_{context.client, std::move(sources), settings.peer_timeout},
-      upload_{context.io, settings.upload_rate, settings.burst}, download_{context.io, settings.download_rate,
-                                                                           settings.burst},
-      server_{context, chunks_, upload_, settings_}, parts_{context,  settings_, chunks_,
-                                                            digests_, source_,   download_}
+      source_{context.client, std::move(sources), settings.peer_timeout}, upload_{context.io,
+                                                                                  settings.upload_rate,
+                                                                                  settings.burst},
+      download_{context.io, settings.download_rate, settings.burst}, draw_{context.io, 0, 0},
+      server_{context, chunks_, upload_, settings_}, parts_{context, settings_, chunks_, digests_,
+                                                            source_, download_, draw_}
 {
     if (engine_ != nullptr) activation_.emplace(context, config, store, *engine_, gate, settings_);
     context_.rpc.add("weights.status",
--- a/src/weights/weights_settings.cpp
+++ b/src/weights/weights_settings.cpp
@@ -16,6 +16,7 @@
     s.staged_bytes = bytes("staged_bytes", s.staged_bytes);
     s.upload_rate = bytes("upload_rate", s.upload_rate);
     s.download_rate = bytes("download_rate", s.download_rate);
+    s.region_draw_rate = bytes("region_draw_rate", s.region_draw_rate);
     s.burst = bytes("burst_bytes", s.burst);
     s.upload_slots = number("upload_slots", s.upload_slots);
     s.peers = reader.boolean("peers", s.peers);
--- a/tests/unit/weights_plan_test.cpp
+++ b/tests/unit/weights_plan_test.cpp
@@ -175,6 +175,28 @@
     CHECK(plan.next(now + settings.busy_pause, random).has_value());
 }
 
+// Guards against hosts of one region that overrun the link to another region together.
+TEST(chunk_plan, the_hosts_that_still_draw_share_the_rate_of_their_region)
+{
+    chunks = make_chunks(64);
+    auto plan = plan_of("host-0");
+    CHECK_EQUAL(4U, plan.drawing_hosts(now)); // each of 4 hosts draws some of 64 chunks
+    CHECK_EQUAL(250U, draw_share(1'000, 4));
+
+    // host-1 has drawn all of its own chunks, host-2 cannot be reached: its followers draw for it.
+    auto owned = std::vector<bool>(chunks.size());
+    for (auto i = std::size_t{0}; i < chunks.size(); ++i)
+        owned[i] = plan_of("host-1").rank(i) == 0U;
+    plan.peer_has("host-1", owned, now);
+    CHECK_EQUAL(3U, plan.drawing_hosts(now));
+    plan.peer_unreachable("host-3", now);
+    plan.peer_unreachable("host-2", now);
+    CHECK_EQUAL(2U, plan.drawing_hosts(now));
+
+    CHECK_EQUAL(0U, draw_share(0, 4)); // no limit
+    CHECK_EQUAL(1U, draw_share(3, 4)); // never "no limit" by division
+}
+
 // Guards against a source that is asked although it said to wait.
 TEST(chunk_plan, a_limited_source_is_left_alone_until_its_time)
 {
--- a/tests/unit/weights_test.cpp
+++ b/tests/unit/weights_test.cpp
@@ -144,6 +144,16 @@
     CHECK(link.longest_wait(100) == milliseconds{400});
 }
 
+// Guards against a draw that goes on at the old rate after more hosts began to draw.
+TEST(weights_link, a_new_rate_holds_for_what_is_owed)
+{
+    auto link = token_bucket{1'000, 0, now};
+    link.take(1'000, now);
+    CHECK(link.wait(now) == seconds{1});
+    link.set_rate(250, now);
+    CHECK(link.wait(now) == seconds{4});
+}
+
 // Guards against a sender that delivers a byte now and then: no single read of it times out.
 TEST(weights_link, a_trickle_is_a_stall_but_time_spent_on_the_own_link_is_not)
 {
