Give measures ports that outgoing connections cannot take

Cause: a measure asked the system for a free port, closed it and used it later.

Change: ports come at random from 10000 to 31999, below the range of outgoing connections, each once in a run. The weights measure names how many of the wrong answers are missing ones; the sum that is compared with 0 is the same.

--- a/tools/measures/lib_deployment.py
+++ b/tools/measures/lib_deployment.py
@@ -15,6 +15,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -24,12 +25,21 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BIN = pathlib.Path(os.environ.get("HW_BUILD", ROOT / "build")) / "bin"
 REGIONS = {"gor-a": "gorenjska", "sta-a": "stajerska", "pri-a": "primorska"}
+GIVEN_PORTS = set()
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Below the ports that the system gives to outgoing connections: those may be taken again before they are used."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 def request(address, method, path, body=None, headers=None, timeout=10.0):
--- a/tools/measures/weights.py
+++ b/tools/measures/weights.py
@@ -61,7 +61,7 @@
              f"{where} seconds={seconds:.2f} median={median:.2f} ideal={ideal:.2f} active={ended - begun:.2f} "
              f"host_cores={cores:.2f} load={load_before:.0f},{os.getloadavg()[0]:.0f} failures={run.failures()}"),
             (f"{prefix}.origin_copies", copies, 1.1, copies <= 1.1, f"{where} of each region that draws"),
-            (f"{prefix}.mixed_or_partial_answers", wrong, 0, wrong == 0, f"{where} answers={len(results)} refusals={run.refusals}"),
+            (f"{prefix}.mixed_or_partial_answers", wrong, 0, wrong == 0, f"{where} answers={len(results)} missing={sum(r is None for r in results)} refusals={run.refusals}"),
             (f"{prefix}.live_p99_ratio", ratio, 1.5, ratio <= 1.5, f"{where} p99_idle={p99[0]:.3f} p99_transfer={p99[1]:.3f}")]
 
 
