Serve no version that was replaced meanwhile, and no stream pieces of unnamed weights

Cause, all found with a real agent that was stopped around a load order, and with the replacement of such an agent while its order was held on the way to the engine: - An order that completed after another version was declared opened the gate for its own version. - After the order failed or was cancelled, the agent ordered the version before it with a new fencing number, over the newer one that its replacement had loaded; engines of both kinds took it. - Stream pieces of an engine that ignores the numbers were relayed before the check at the stream's end. The entry took the cut for a lost link, resumed elsewhere, and presented a mixed answer as whole. - A gate that had closed on other weights stayed closed when the engine had the right ones again by another process's order. Change: a replaced version is kept as the one to fall back to and not served; the version before is ordered again only while its own declaration stands; what an engine has loaded is adopted only before the first order; each piece is held until a status read that began after it came has named the weights (reads shared, at most one every status_max_age_ms); the gate opens again when the engine reports the declared weights. The adapter counts as part of them. Conclusion: a host whose load was superseded takes no work until the newer version is loaded.

--- a/include/hibiscuswall/weights/activation.hpp
+++ b/include/hibiscuswall/weights/activation.hpp
@@ -3,7 +3,7 @@
 //
 //   auto done = co_await activation.order(target, [&] { return generation == mine; });
 //   // errors: load_rejected                     the engine failed the load; the old weights are served again
-//   //         cancelled                         no longer wanted; nothing changed
+//   //         cancelled                         no longer wanted; closed if the engine has it already
 //   //         endpoint_draining, store_unavailable, configuration_unconfirmed     put off; try again
 //
 // One order runs at a time. An order goes out only if no pause of this process lies between taking its
@@ -36,7 +36,7 @@
 private:
     auto send_order(served_weights target) -> asio::awaitable<result<void>>;
     auto probe(served_weights target) -> asio::awaitable<result<void>>;
-    auto restore(std::optional<served_weights> previous) -> asio::awaitable<void>;
+    auto restore(std::optional<served_weights> previous, bool may_order) -> asio::awaitable<void>;
 
     process_context& context_;
     config_source& config_;
@@ -44,7 +44,8 @@
     engine_client& engine_;
     endpoint_control& gate_;
     weights_settings const& settings_;
-    std::function<bool()> wanted_; // of the running order
+    std::function<bool()> wanted_;             // of the running order
+    std::optional<served_weights> superseded_; // loaded but not served: served again if the next load fails
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/weights/weights_service.hpp
+++ b/include/hibiscuswall/weights/weights_service.hpp
@@ -65,6 +65,7 @@
     auto ask_domain(model_serving target, std::string id) -> asio::awaitable<std::vector<rollout_peer>>;
     auto watch_engine(std::uint64_t generation, served_weights weights) -> asio::awaitable<void>;
     auto adopt_loaded(served_weights const& declared) -> asio::awaitable<bool>;
+    auto reopen(served_weights const& weights) -> void;
     auto advance(std::string const& id, version_event event) -> void;
     auto order(std::uint64_t generation, served_weights weights) -> asio::awaitable<result<void>>;
     auto note(std::string const& id, error const& why) -> void;
@@ -92,6 +93,7 @@
     std::shared_ptr<transfer> moving_;              // the running transfer
     std::optional<model_serving> target_;
     bool ordering_ = false;        // an order to the engine is running
+    bool has_ordered_ = false;     // since the start of this process
     std::string active_id_;        // version that the engine serves
     std::uint64_t generation_ = 0; // raised when the declaration changes; older work stops
 };
--- a/src/calls/engine_watch.cpp
+++ b/src/calls/engine_watch.cpp
@@ -4,6 +4,9 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace hibiscuswall {
 namespace {
 
@@ -23,10 +26,15 @@
 auto request_gate::state::read_engine() -> asio::awaitable<void>
 {
     auto self = shared_from_this();
+    auto const begun = clock::now();
     auto found = co_await engine.status();
     if (found) {
         failed_reads = 0;
         last_read = clock::now();
+        if (begun > last_read_begun) {
+            last_read_begun = begun;
+            reports_ordered = is_ordered(found.value());
+        }
         if (!engine_reached) {
             engine_reached = true;
             admission.reset();
@@ -45,6 +53,28 @@
     context.events.record("engine_unreachable", {{"reason", found.error().message}});
 }
 
+// Whether a status read that began after the moment succeeded; reads until then. Calls that ask together
+// share a read, and reads begin at most every status_max_age: their number does not grow with the tokens.
+auto request_gate::state::read_engine_since(time_point moment) -> asio::awaitable<bool>
+{
+    auto self = shared_from_this();
+    while (last_read_begun <= moment && engine_reached) {
+        if (sharing_read) {
+            read_shared.expires_at(time_point::max());
+            co_await read_shared.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        sharing_read = true;
+        auto const rest =
+            std::chrono::ceil<milliseconds>(last_read_begun + endpoint.status_max_age - clock::now());
+        if (rest.count() > 0) co_await sleep_for(rest);
+        co_await read_engine();
+        sharing_read = false;
+        read_shared.cancel();
+    }
+    co_return last_read_begun > moment;
+}
+
 // Reads the status again before a call is sent when the last one is too old for the load it adds to. False
 // when the engine turned cold meanwhile and already has more than its cold limit.
 auto request_gate::state::still_warm() -> asio::awaitable<bool>
@@ -60,7 +90,8 @@
 
 auto request_gate::state::is_ordered(engine_status const& found) const -> bool
 {
-    return ordered && found.manifest_digest == ordered->manifest_digest && found.version == ordered->version;
+    return ordered && found.manifest_digest == ordered->manifest_digest &&
+           found.version == ordered->version && found.adapter == ordered->adapter;
 }
 
 auto request_gate::state::judge(engine_status const& found) -> void
--- a/src/calls/forward_call.cpp
+++ b/src/calls/forward_call.cpp
@@ -127,23 +127,29 @@
     return reason;
 }
 
-// Whether other weights came into the engine during the call; empty when not. body: of a whole answer.
+// Why a whole answer may be of other weights than the call's; empty when it is not.
 auto request_gate::state::mixed(forward_request call, std::string_view body) -> asio::awaitable<std::string>
 {
     if (!is_engine()) co_return std::string{};
-    if (!body.empty()) {
-        auto const answer = nlohmann::json::parse(body, nullptr, false);
-        auto const named = answer.is_object() && answer.contains("weights_version");
-        if (named && answer["weights_version"] != call.version)
-            co_return "the answer was made with weights version " + answer["weights_version"].dump();
-    }
-    if (endpoint.enforces_fencing) co_return std::string{};
-    // An engine that takes any order may have loaded other weights since the call began.
-    auto const began_with = ordered;
-    co_await read_engine();
-    auto const same =
-        ordered == began_with && (closed == result_code::ok || closed == result_code::endpoint_draining);
-    co_return same ? std::string{} : std::string{"the engine's weights changed during the call"};
+    auto const answer = nlohmann::json::parse(body, nullptr, false);
+    auto const named = answer.is_object() && answer.contains("weights_version");
+    if (named && answer["weights_version"] != call.version)
+        co_return "the answer was made with weights version " + answer["weights_version"].dump();
+    co_return co_await weights_changed(call, clock::now());
+}
+
+// Why what arrived at that time may be of other weights than the call's; empty when it is not. An engine that
+// takes any order may have loaded others since the call began.
+// NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine keeps its own copy
+auto request_gate::state::weights_changed(forward_request call, time_point arrived)
+    -> asio::awaitable<std::string>
+{
+    if (!is_engine() || endpoint.enforces_fencing) co_return std::string{};
+    auto const read = co_await read_engine_since(arrived);
+    if (!read) co_return std::string{"the engine does not tell its weights"};
+    // Compared with the status itself: while the endpoint drains, other weights do not close it.
+    if (reports_ordered && ordered && ordered->version == call.version) co_return std::string{};
+    co_return std::string{"the engine's weights changed during the call"};
 }
 
 auto request_gate::state::relay(forward_request const& call, http_stream& answer, http_responder& out,
@@ -209,16 +215,19 @@
             co_return outcome;
         }
         if (!piece.value()) break;
+        // What was relayed cannot be taken back, and the entry goes on with it elsewhere: each piece is held
+        // until the engine has named its weights after the piece came.
+        if (auto const reason = co_await weights_changed(call, clock::now()); !reason.empty()) {
+            out.abort();
+            answer.cancel();
+            co_return call_outcome{result_code::response_malformed, ran::unknown, reason, sample, true};
+        }
         auto const written = co_await out.write(*piece.value());
         if (!written && call.idempotent) {
             answer.cancel();
             co_return call_outcome{result_code::cancelled, ran::unknown, "the entry closed", sample, true};
         }
     }
-    if (auto const reason = co_await mixed(call, {}); !reason.empty()) {
-        out.abort();
-        co_return call_outcome{result_code::response_malformed, ran::unknown, reason, sample, true};
-    }
     if (!call.idempotent) registry.answered(call.call_id, std::nullopt);
     co_await out.finish();
     co_return call_outcome{result_code::ok, ran::yes, {}, sample, true};
--- a/src/calls/gate_state.hpp
+++ b/src/calls/gate_state.hpp
@@ -77,6 +77,7 @@
     auto cancel_on_disconnect(forward_request const& call, http_responder& out) -> std::shared_ptr<live_call>;
     auto foreign(forward_request const& call, http_headers const& headers) -> std::string;
     auto mixed(forward_request call, std::string_view body) -> asio::awaitable<std::string>;
+    auto weights_changed(forward_request call, time_point arrived) -> asio::awaitable<std::string>;
     auto relay(forward_request const& call, http_stream& answer, http_responder& out, time_point sent)
         -> asio::awaitable<call_outcome>;
     auto relay_whole(forward_request const& call, http_stream& answer, http_headers headers,
@@ -87,6 +88,7 @@
     // ---- engine_watch.cpp
     auto watch_engine() -> asio::awaitable<void>;
     auto read_engine() -> asio::awaitable<void>;
+    auto read_engine_since(time_point moment) -> asio::awaitable<bool>;
     auto still_warm() -> asio::awaitable<bool>;
     auto judge(engine_status const& found) -> void;
     auto is_ordered(engine_status const& found) const -> bool;
@@ -108,6 +110,10 @@
     bool engine_reached = true;                      // the last status reads succeeded
     int failed_reads = 0;                            // consecutive status reads that failed
     time_point last_read;                            // of the engine's status
+    time_point last_read_begun;                      // of the last status read that succeeded
+    bool sharing_read = false;                       // read_engine_since() reads
+    asio::steady_timer read_shared{context.io};      // cancelled when that read ends
+    bool reports_ordered = false;                    // the last status named the ordered weights
     std::uint64_t cold_turns = 0;                    // resets of the limit so far
     std::string instance;                            // engine instance of the last status; empty: unknown
     engine_state reported = engine_state::ready;     // by the last status
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -72,14 +72,22 @@
     // Without the store there is no fencing number: learn that before the endpoint is drained.
     auto reachable = co_await store_.find("fencing/" + context_.self.name);
     if (!reachable) co_return reachable.error();
-    auto const previous = gate_.serving();
+    auto const previous = gate_.serving() ? gate_.serving() : superseded_;
     auto const drained = co_await gate_.drain(settings_.drain_timeout);
     if (!drained) {
         if (previous) gate_.serve(*previous);
         co_return fail(result_code::endpoint_draining, "requests remain in flight");
     }
     auto done = co_await send_order(target);
+    auto const replaced = wanted_ && !wanted_();
+    if (done && replaced) {
+        // Another version was declared while this one loaded, perhaps during a pause: it is not served any
+        // more.
+        superseded_ = target;
+        co_return fail(result_code::cancelled, "the declared version changed while it loaded");
+    }
     if (done) {
+        superseded_.reset();
         gate_.serve(target);
         co_return success();
     }
@@ -87,11 +95,13 @@
               {{"version", target.version}, {"reason", done.error().message}});
     context_.events.record("load_failed", {{"version", target.version}, {"reason", done.error().message}});
     wanted_ = nullptr; // the old weights are wanted in any case
-    co_await restore(previous);
+    co_await restore(previous, !replaced);
     co_return done.error();
 }
 
-auto activation::restore(std::optional<served_weights> previous) -> asio::awaitable<void>
+// may_order: whether the old weights may be ordered where the engine has lost them. Once another version is
+// declared, an engine with other weights may have got them from this host's next process: it is left alone.
+auto activation::restore(std::optional<served_weights> previous, bool may_order) -> asio::awaitable<void>
 {
     if (!previous) {
         gate_.close(result_code::endpoint_cold);
@@ -100,8 +110,12 @@
     auto const weights = *previous;
     auto same = co_await reports(weights);
     if (!same || !same.value()) {
-        auto again = co_await send_order(weights);
-        if (!again) {
+        auto ordered = false;
+        if (may_order) {
+            auto again = co_await send_order(weights);
+            ordered = again.has_value();
+        }
+        if (!ordered) {
             gate_.close(result_code::endpoint_cold);
             co_return;
         }
--- a/src/weights/weights_service_activation.cpp
+++ b/src/weights/weights_service_activation.cpp
@@ -120,6 +120,7 @@
         co_await sleep_for(order_pause);
     if (!wanted(generation)) co_return fail(result_code::cancelled, "the declared version changed");
     ordering_ = true;
+    has_ordered_ = true;
     auto done = co_await activation_->order(weights, [this, generation] { return wanted(generation); });
     ordering_ = false;
     co_return done;
@@ -128,10 +129,10 @@
 // ---- an engine that serves
 
 // An agent that restarted beside a running engine serves what the engine has, while the declared version
-// comes.
+// comes. Once this process has ordered, the gate is closed for a reason: an order under way or superseded.
 auto weights_service::adopt_loaded(served_weights const& declared) -> asio::awaitable<bool>
 {
-    if (gate_.serving()) co_return false;
+    if (gate_.serving() || has_ordered_) co_return false;
     auto const model = declared.model;
     auto status = co_await engine_->status();
     if (!status || status.value().state == engine_state::cold || status.value().model != model ||
@@ -143,6 +144,15 @@
     co_return true;
 }
 
+// The gate closes on its own when the engine shows other weights or a new instance. An engine that is right
+// again without an order of this process needs none.
+auto weights_service::reopen(served_weights const& weights) -> void
+{
+    if (gate_.serving() || ordering_ || context_.self.state == member_state::leaving) return;
+    gate_.serve(weights);
+    context_.events.record("admission_reopened", {{"version", weights.version}});
+}
+
 auto weights_service::watch_engine(std::uint64_t generation, served_weights weights) -> asio::awaitable<void>
 {
     auto const id = weights.model + "/" + weights.version;
@@ -151,6 +161,7 @@
         auto same = co_await activation_->reports(weights);
         if (!wanted(generation)) co_return;
         // An engine that does not answer may be restarting: its agent's gate closes on its own.
+        if (same && same.value()) reopen(weights);
         if (!same || same.value()) continue;
         log_event(log_level::warning, "engine_lost_weights", {{"version", id}});
         context_.events.record("engine_lost_weights", {{"version", id}});
