Destroy running handlers before what they give back to

Cause: an agent whose drain timed out with requests in flight ended by SIGSEGV. The handlers were destroyed with the io_context, the last member of the daemon's state to go, and gave their slots back through metrics that were gone. Change: metrics, events and the process context are declared before the io_context and outlive it.

--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -27,22 +27,24 @@
 } // namespace
 
 struct daemon_base::state {
-    asio::io_context io{1};
+    // Destroyed after io: handlers that still run at the end are destroyed with it, and give back what they
+    // hold.
     timeline events;
     metrics measures;
     random_source random;
+    process_context context; // refers to members below
+    asio::io_context io{1};
     http_client client;
     rpc_dispatcher rpc;
     http_router control;
-    process_context context;
     std::unique_ptr<http_server> server;
     std::vector<std::function<bool()>> ready_checks;
     std::vector<stop_step> stop_steps;
     bool stopping = false;
 
     state(member self, std::uint64_t seed)
-        : events{self.name, timeline_capacity}, random{seed, id_seed(self, seed)}, client{io, &events},
-          context{io, std::move(self), client, rpc, control, events, measures, random}
+        : events{self.name, timeline_capacity}, random{seed, id_seed(self, seed)},
+          context{io, std::move(self), client, rpc, control, events, measures, random}, client{io, &events}
     {
     }
 
--- a/tests/integration/service_changes_test.cpp
+++ b/tests/integration/service_changes_test.cpp
@@ -121,6 +121,22 @@
         STRCMP_EQUAL("finished", request["state"].get<std::string>().c_str());
 }
 
+// Guards against an agent that crashes when requests outlast its drain timeout.
+TEST(a_running_system, an_agent_ends_in_order_when_requests_outlast_its_drain)
+{
+    options.engine_arguments = {"--token-ms", "200", "--prefill-ms", "5"};
+    options.agent_settings = {{"stop", {{"drain_timeout_ms", 100}}}};
+    begin();
+    load = std::make_unique<caller_load>(*system, 4, 20);
+    auto& agent = *system->find("drafting-0");
+    CHECK(
+        await_condition(milliseconds{5'000}, [&] { return !records_of("drafting-0")["requests"].empty(); }));
+    agent.daemon.send_signal(SIGTERM);
+    auto const code = agent.daemon.wait(milliseconds{5'000});
+    CHECK(code.has_value());
+    LONGS_EQUAL(0, *code);
+}
+
 // Guards against new work in a failure domain that is out, and against a dip elsewhere when it returns.
 TEST(a_running_system, a_failure_domain_leaves_within_three_seconds_and_returns)
 {
