Push from the revision before when the member table is behind

Cause: exchanges no longer repeat unchanged members, so that the revision that the table holds of a peer is often old or 0, and then a push carries the whole configuration. Change: the first attempt starts from the revision that this process had before; the answer of a peer that lacks it names the base of the second.

--- a/src/config/config_peers.cpp
+++ b/src/config/config_peers.cpp
@@ -121,7 +121,10 @@
     for (auto attempt = 0; attempt < 2; ++attempt) {
         auto const document = state_.document();
         if (peer_revision >= document->revision) co_return true;
-        auto const base = peer_revision == 0 ? nullptr : state_.recent(peer_revision);
+        // What the member table says of the peer may be old: as a rule it has what this process had before.
+        auto const before = document->recent.empty() ? 0 : document->recent.front().revision;
+        auto const from = attempt == 0 && before != 0 && state_.recent(before) ? before : peer_revision;
+        auto const base = from == 0 ? nullptr : state_.recent(from);
         auto const empty = config_document{};
         auto message = to_json(make_delta(base ? *base : empty, *document));
         message["confirmed_age_ms"] = state_.confirmed_age(clock::now()).count();
