Spread news to two peers at a time, chosen differently by each process

Measures and the demo give every process the same seed. Change: the choice is shifted by a hash of the process's own name, an early round tells two peers, and every sending of a change is early, not only the first three.

--- a/include/hibiscuswall/membership/member_table.hpp
+++ b/include/hibiscuswall/membership/member_table.hpp
@@ -50,7 +50,7 @@
     // none. What only the host list says is no news: every process reads the list.
     auto news(std::size_t count) -> std::vector<member>;
 
-    // Whether a change is new enough to pass on at once.
+    // Whether news() may have something to give.
     [[nodiscard]] auto has_fresh_news() const -> bool { return fresh_; }
 
     // Up to count members in rotation, for a peer whose digest differs.
--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/membership/gossip_service.hpp"
 
+#include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/membership/host_list_schedule.hpp"
 #include "hibiscuswall/observe/log.hpp"
@@ -17,6 +18,7 @@
 namespace hibiscuswall {
 namespace {
 
+constexpr auto peers_told_early = 2;                // in each early round
 constexpr auto doubtful_per_round = std::size_t{4}; // further probes of members that missed one
 constexpr auto dead_probe_share = std::size_t{8};   // one round in this many also probes a dead member, so
                                                     // that regions find each other again
@@ -97,7 +99,11 @@
 auto gossip_service::any_live_peer() -> std::vector<member>
 {
     auto const live = table_.counts({}).live;
-    auto const* chosen = table_.nth(context_.random.below(live), false);
+    if (live == 0) return {};
+    // Processes with the same seed must not all ask the same peer: news would wait while one hears it from
+    // all.
+    auto const offset = static_cast<std::size_t>(rendezvous_weight("exchange", context_.self.name) % live);
+    auto const* chosen = table_.nth((context_.random.below(live) + offset) % live, false);
     return chosen == nullptr ? std::vector<member>{} : std::vector<member>{*chosen};
 }
 
@@ -127,8 +133,9 @@
             asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
         // Early rounds only pass on news: missed probes are counted at the pace of the regular ones.
         while (co_await wait_for_round())
-            for (auto const& peer : any_live_peer())
-                asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
+            for (auto i = 0; i < peers_told_early; ++i)
+                for (auto const& peer : any_live_peer())
+                    asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
     }
 }
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -11,9 +11,6 @@
 // of processes.
 constexpr auto retransmit_limit = 8;
 
-// Sent this many times at once, in exchanges of their own; the others go with regular exchanges.
-constexpr auto fresh_limit = 3;
-
 // Between reports of one incarnation. A leaving host stays leaving whatever a probe or a rumour says.
 auto precedence(member_state state) -> int
 {
@@ -208,7 +205,7 @@
         list.push_back(order[i]->what);
     }
     fresh_ = std::any_of(order.begin(), order.end(),
-                         [](row const* entry) { return entry->passed_on < fresh_limit; });
+                         [](row const* entry) { return entry->passed_on < retransmit_limit; });
     return list;
 }
 
--- a/tests/support/test_process.hpp
+++ b/tests/support/test_process.hpp
@@ -14,13 +14,13 @@
 
 struct test_process {
     test_process(asio::io_context& io, std::string name, member_role role, std::string domain, address store,
-                 config_settings settings = {})
+                 config_settings settings = {}, membership_settings membership = {})
         : events{name, 256}, client{io, &events}, context{io,       identity(name, role, domain),
                                                           client,   rpc,
                                                           control,  events,
                                                           measures, random},
-          kv{client, {store}, milliseconds{500}}, config{context, kv, table, settings},
-          hosts{client, store, milliseconds{100}}, gossip{context, table, config, hosts, {}},
+          kv{client, {store}, milliseconds{500}}, table{membership}, config{context, kv, table, settings},
+          hosts{client, store, milliseconds{100}}, gossip{context, table, config, hosts, membership},
           api{context, config, kv, table}, server{io, control, &events, {}}
     {
         rpc.serve(control);
