--- a/tools/measures/lib_deployment.py
+++ b/tools/measures/lib_deployment.py
@@ -26,10 +26,22 @@
 REGIONS = {"gor-a": "gorenjska", "sta-a": "stajerska", "pri-a": "primorska"}
 
 
+# Below the ports of outgoing connections (32768 and up): a process that is already running could take the port of one
+# that is not started yet. Each measure begins elsewhere, so that two at a time seldom meet.
+LISTEN_PORTS = range(12000, 32000)
+next_port = LISTEN_PORTS.start + os.getpid() * 251 % len(LISTEN_PORTS)
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    global next_port
+    while True:
+        port, next_port = next_port, next_port + 1 if next_port + 1 in LISTEN_PORTS else LISTEN_PORTS.start
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def request(address, method, path, body=None, headers=None, timeout=10.0):
