--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -119,6 +119,25 @@
     CHECK_TEXT(rate < 400, std::to_string(rate).c_str()); // as a client
 }
 
+// Guards against a change that every process repeats too often: at the target size one comes about every 25
+// s.
+TEST(gossip, one_change_costs_each_process_few_bytes)
+{
+    begin(24);
+    start();
+    run_until([] { return false; }, milliseconds{1'000});
+    auto const quiet = exchange_bytes();
+    run_until([] { return false; }, milliseconds{3'000});
+    auto const changed = exchange_bytes();
+    auto const raised = ++fleet[0]->context.self.incarnation;
+    run_until([] { return false; }, milliseconds{3'000});
+    for (auto const& one : fleet)
+        CHECK(one == fleet[0] || one->table.find("host-0")->incarnation == raised);
+    auto const more = static_cast<double>(exchange_bytes() - changed) - static_cast<double>(changed - quiet);
+    auto const each = more / static_cast<double>(fleet.size());
+    CHECK_TEXT(each < 3'000, std::to_string(each).c_str()); // as a client
+}
+
 TEST(gossip, a_malformed_exchange_is_refused)
 {
     begin(1);
