Read the host list at different times in processes of one seed

Cause: processes with the same seed waited equally long, so that all read the list at the same time and none in between: a host that the list turned to leaving was known at all entries of 24 processes only after 7.2 s. Change: the random part of the delay is shifted by a hash of the name.

--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -74,8 +74,8 @@
         if (listed_leaving_) counts.in_failure_domain = std::min(counts.in_failure_domain, leaving_readers);
         if (listed_leaving_ || !host_list_read_) counts.live = counts.in_failure_domain;
         if (!host_list_read_) counts = {};
-        until_list_.expires_after(
-            host_list_delay(settings_.host_list_interval, counts, context_.random.fraction()));
+        auto const part = host_list_part(context_.random.fraction(), context_.self.name);
+        until_list_.expires_after(host_list_delay(settings_.host_list_interval, counts, part));
         co_await until_list_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -161,3 +161,16 @@
     CHECK_EQUAL(1'780'000, mean_ms(7119, 889));
     CHECK_EQUAL(1'780'000, mean_ms(7119, 3)); // a small failure domain in a large fleet
 }
+
+// Guards against processes of one seed that all read the list at the same time: a leaving host was noticed
+// after 7 s.
+TEST(host_list_schedule, spreads_processes_of_one_seed)
+{
+    auto parts = std::vector<double>{};
+    for (auto i = 0; i < 100; ++i)
+        parts.push_back(host_list_part(0.7, "host-" + std::to_string(i)));
+    std::sort(parts.begin(), parts.end());
+    CHECK(parts.front() >= 0.0 && parts.back() < 1.0);
+    for (auto i = std::size_t{1}; i < parts.size(); ++i)
+        CHECK(parts[i] - parts[i - 1] < 0.15);
+}
