--- a/tools/measures/lib_deployment.py
+++ b/tools/measures/lib_deployment.py
@@ -15,7 +15,6 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -25,21 +24,24 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BIN = pathlib.Path(os.environ.get("HW_BUILD", ROOT / "build")) / "bin"
 REGIONS = {"gor-a": "gorenjska", "sta-a": "stajerska", "pri-a": "primorska"}
-GIVEN_PORTS = set()
+
+
+# Below the ports of outgoing connections (32768 and up): a process that is already running could take the port of one
+# that is not started yet. Each measure begins elsewhere, so that two at a time seldom meet.
+LISTEN_PORTS = range(12000, 32000)
+next_port = LISTEN_PORTS.start + os.getpid() * 251 % len(LISTEN_PORTS)
 
 
 def free_port():
-    """Below the ports that the system gives to outgoing connections: those may be taken again before they are used."""
+    global next_port
     while True:
-        port = random.SystemRandom().randrange(10_000, 32_000)
+        port, next_port = next_port, next_port + 1 if next_port + 1 in LISTEN_PORTS else LISTEN_PORTS.start
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
+                return port
             except OSError:
                 continue
-        if port not in GIVEN_PORTS:
-            GIVEN_PORTS.add(port)
-            return port
 
 
 def request(address, method, path, body=None, headers=None, timeout=10.0):
