--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -244,7 +244,7 @@
             auto code = boost::system::error_code{};
             auto const used = parser_.put(connection_->buffer.data(), code);
             connection_->buffer.consume(used);
-            client_->received += used;
+            counts_.received += used;
             if (code == http::error::need_more || code == http::error::need_buffer) break;
             if (code) return code;
             if (used == 0) break;
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -28,7 +28,7 @@
     auto const& now = status.value();
     auto const same = now.version == target.version && now.manifest_digest == target.manifest_digest;
     auto const same_adapter = now.adapter == target.adapter;
-    co_return same && same_adapter && now.state != engine_state::cold;
+    co_return same&& same_adapter&& now.state != engine_state::cold;
 }
 
 auto activation::has_restarted(std::string instance) -> asio::awaitable<bool>
--- a/tests/integration/call_handler_test.cpp
+++ b/tests/integration/call_handler_test.cpp
@@ -102,7 +102,7 @@
     bool saw_disconnect = false;
     std::string version = "v1";
     std::string last_event_id;
-    std::size_t endless_bytes = 0; // of one event, taken by the entry
+    std::size_t endless_bytes = 0;   // of one event, taken by the entry
     std::function<void()> after_cut; // of a stream
     std::unique_ptr<http_server> server;
 
