--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -26,9 +26,10 @@
     auto status = co_await engine_.status();
     if (!status) co_return status.error();
     auto const& now = status.value();
-    auto const same = now.version == target.version && now.manifest_digest == target.manifest_digest;
-    auto const same_adapter = now.adapter == target.adapter;
-    co_return same&& same_adapter&& now.state != engine_state::cold;
+    auto const same = now.version == target.version && now.manifest_digest == target.manifest_digest &&
+                      now.adapter == target.adapter;
+    auto const loaded = same && now.state != engine_state::cold;
+    co_return loaded;
 }
 
 auto activation::has_restarted(std::string instance) -> asio::awaitable<bool>
