Take the bound of a returning failure domain's draws from the target

Cause: the test asked for less than 1.13 copies, near what earlier runs had drawn; the target is 1.1 copies for a region that draws. The note in claim_order.hpp was garbled.

--- a/src/calls/claim_order.hpp
+++ b/src/calls/claim_order.hpp
@@ -1,8 +1,9 @@
 #pragma once
 // One claim or ending that waits for the swap of its bucket, and the queue of a bucket.
 //
-//   auto order = std::make_shared<claim_order>(executor);   // fill key and either mine or call_id, end,
-//   answer lane.waiting.push_back(order);                          // then lead the lane or wait for woken
+//   auto order = std::make_shared<claim_order>(executor);
+//   order->key = key;                       // and either mine and replaces, or call_id, end and answer
+//   lane.waiting.push_back(order);          // then lead the lane, or wait for order->woken
 
 #include "hibiscuswall/calls/claim_bucket.hpp"
 #include "hibiscuswall/core/result.hpp"
--- a/tests/integration/weights_changes_test.cpp
+++ b/tests/integration/weights_changes_test.cpp
@@ -208,7 +208,8 @@
         system->restart_daemon(*agent);
     CHECK(await_active("v1"));
     auto const copies = std::to_string(drawn() - before) + " bytes drawn";
-    CHECK_TEXT(drawn() - before < copy + 8 * chunk, copies.c_str());
+    UT_PRINT(copies.c_str());
+    CHECK_TEXT(drawn() - before <= copy + copy / 10, copies.c_str()); // 1.1 copies for a region that draws
     std::this_thread::sleep_for(milliseconds{500});
     expect_no_error();
 }
