Remove the policy field hedge_ms, which had no effect

Cause: hedging was measured against and not built; the field was accepted all the same and promised what nothing did.

--- a/include/hibiscuswall/config/resource.hpp
+++ b/include/hibiscuswall/config/resource.hpp
@@ -73,7 +73,6 @@
     double retry_budget_ratio = 0.1;   // retries per request
     bool allow_account_header = false; // accept X-Account in place of a bearer key
     int activation_batch = 1;          // batch of every ModelServing that declares none
-    milliseconds hedge_delay{0};       // 0: no hedging
 };
 
 using resource = std::variant<model_serving, failure_domain_resource, host_resource, service_resource,
--- a/src/config/resource_parser.cpp
+++ b/src/config/resource_parser.cpp
@@ -127,7 +127,6 @@
     policy.retry_budget_ratio = reader.number("retry_budget_ratio", policy.retry_budget_ratio, 0.0, 1.0);
     policy.allow_account_header = reader.boolean("allow_account_header", false);
     policy.activation_batch = static_cast<int>(reader.integer("activation_batch", 1, 1, requests_limit));
-    policy.hedge_delay = milliseconds{reader.integer("hedge_ms", 0, 0, 60'000)};
     return policy;
 }
 
