Give up a stream that stalls between two events after event_timeout_ms

Cause: the setting event_timeout_ms was read, documented and used nowhere. A stream whose agent was paused between two events waited for answer_timeout_ms (20 s) before the entry went on elsewhere. Change: after the first piece the entry limits each further one to event_timeout_ms; the first keeps answer_timeout_ms, since it may wait for the prompt to be read.

--- a/include/hibiscuswall/calls/call_settings.hpp
+++ b/include/hibiscuswall/calls/call_settings.hpp
@@ -13,7 +13,7 @@
     milliseconds connect_timeout{500};     // "connect_timeout_ms": to an agent
     milliseconds status_timeout{1'000};    // "status_timeout_ms": one attempt of an idempotent status call
     milliseconds answer_timeout{20'000};   // "answer_timeout_ms": one attempt of any other idempotent call
-    milliseconds event_timeout{5'000};     // "event_timeout_ms": between two events of a stream
+    milliseconds event_timeout{5'000};     // "event_timeout_ms": from one event of a stream to the next
     milliseconds endpoint_wait{2'000};     // "endpoint_wait_ms": wait while no endpoint is admissible
     milliseconds resolve_timeout{500};     // "resolve_timeout_ms": one question about a lost answer
     int resolve_attempts = 3;              // "resolve_attempts": while the agent does not reply
--- a/include/hibiscuswall/http/http_client.hpp
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -2,8 +2,7 @@
 // HTTP/1.1 client on one io_context, with kept-alive connections by address.
 //
 //   auto answer = co_await client.fetch(where, request, {.timeout = milliseconds{500}});
-//   if (!answer) ...  // connect_failed: no byte was sent; connection_lost, transport_timeout: it may have
-//   run
+//   if (!answer) ...  // connect_failed: no byte was sent; others, such as connection_lost: it may have run
 //
 //   auto opened = co_await client.open(where, request, {});
 //   while (true) {
@@ -65,6 +64,9 @@
     // Reads the rest as one text.
     virtual auto read_all() -> asio::awaitable<result<std::string>> = 0;
 
+    // Time for each further piece, in place of http_call_options::timeout.
+    virtual auto limit_pieces(milliseconds each) -> void = 0;
+
     // Closes the connection; a pending read() fails.
     virtual auto cancel() -> void = 0;
 };
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -203,6 +203,8 @@
         if (taken.broken) co_return stream_cut(attempt, last_);
         if (parser.too_long())
             co_return stream_cut(attempt, fail(result_code::answer_cut, "an event of the stream has no end"));
+        // The first event may wait for the prompt to be read; the later ones come at the pace of the tokens.
+        answer->limit_pieces(services_->settings.event_timeout);
         if (!taken.done) continue;
         watch_->open = nullptr;
         services_->router.on_finished(attempt.host.name);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -228,6 +228,8 @@
         }
     }
 
+    auto limit_pieces(milliseconds each) -> void override { options_.timeout = each; }
+
     auto cancel() -> void override
     {
         if (connection_ == nullptr) return;
--- a/tests/integration/call_handler_test.cpp
+++ b/tests/integration/call_handler_test.cpp
@@ -87,7 +87,8 @@
     wrong_id,
     hang,
     cut_stream,
-    endless_event
+    endless_event,
+    stall_stream
 };
 
 // An agent and its endpoint, with the behaviour of the next calls.
@@ -202,6 +203,12 @@
             co_return;
         }
         for (auto event = after + 1; event <= 6; ++event) {
+            if (act == behaviour::stall_stream && event == 4) {
+                while (!out.disconnected())
+                    co_await sleep_for(milliseconds{1});
+                out.abort();
+                co_return;
+            }
             if (act == behaviour::cut_stream && event == 4) {
                 // Half an event, as a killed process leaves it.
                 co_await out.write("id: 4\nda");
@@ -257,6 +264,7 @@
         store.server = serve(store.routes, store_at);
         settings.endpoint_wait = milliseconds{100};
         settings.status_timeout = milliseconds{200};
+        settings.event_timeout = milliseconds{200};
         handler = std::make_unique<call_handler>(context, config, members, kv, settings, callers);
         handler->start();
         entry = serve(callers, entry_at);
@@ -492,3 +500,14 @@
     STRCMP_EQUAL(events("v1", "v1").c_str(), stream().c_str());
     CHECK(one.endless_bytes + two.endless_bytes < endless_limit / 4);
 }
+
+// Guards against a caller that waits for answer_timeout_ms because an agent was paused between two events.
+TEST(calls_stream, a_stream_that_stalls_between_events_goes_on_elsewhere)
+{
+    one.plan = {behaviour::stall_stream};
+    two.plan = {behaviour::stall_stream};
+    auto const begun = clock::now();
+    STRCMP_EQUAL(events("v1", "v1").c_str(), stream().c_str());
+    CHECK(clock::now() - begun < settings.answer_timeout / 2);
+    CHECK(one.last_event_id == "3" || two.last_event_id == "3");
+}
