Write error bodies in one place, also when the message holds bytes that are not UTF-8

Cause: six places built the body of a refusal; three of them let the JSON library throw on a byte that is not UTF-8. GET /v1/resources/%ff/x was answered 500, ran "unknown", with the library's exception text. Change: error_body and error_response in http; the HTTP server, the entry, the gate, the resource API and the chunk server use them.

--- a/src/api/resource_api.cpp
+++ b/src/api/resource_api.cpp
@@ -1,21 +1,13 @@
 #include "hibiscuswall/api/resource_api.hpp"
 
+#include "hibiscuswall/http/error_body.hpp"
+
 // GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
 #pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 namespace hibiscuswall {
 namespace {
 
-auto error_response(error const& problem) -> http_response
-{
-    auto const& info = describe(problem.code);
-    auto const body = nlohmann::json{{"code", static_cast<int>(problem.code)},
-                                     {"name", info.name},
-                                     {"message", problem.message},
-                                     {"ran", ran_text(info.outcome)}};
-    return json_response(info.http_status, body.dump());
-}
-
 auto joined(std::vector<std::string> const& errors) -> std::string
 {
     auto text = std::string{};
--- a/src/calls/call_answer.cpp
+++ b/src/calls/call_answer.cpp
@@ -1,26 +1,14 @@
 // Answers of a call to its caller.
 #include "call_run.hpp"
 
+#include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace hibiscuswall {
 namespace {
 
 constexpr auto default_retry_after_s = 1LL;
 
-auto error_text(error const& problem, ran outcome, std::string const& call_id) -> std::string
-{
-    auto const body = nlohmann::json{{"code", static_cast<int>(problem.code)},
-                                     {"name", describe(problem.code).name},
-                                     {"message", problem.message},
-                                     {"ran", ran_text(outcome)},
-                                     {"call_id", call_id}};
-    // Messages may quote a caller's bytes, which need not be UTF-8.
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 // A code that goes with the outcome: "not run" and "outcome unknown" each have their statuses.
 auto fitting_code(result_code code, ran outcome) -> result_code
 {
@@ -105,7 +93,7 @@
     problem.code = fitting_code(problem.code, outcome);
     note_refusal(problem, outcome);
     auto const& info = describe(problem.code);
-    auto body = error_text(problem, outcome, call_.id);
+    auto body = error_body(problem, outcome, call_.id);
     if (streaming_) {
         auto event = "event: error\ndata: " + body + "\n\n";
         if (co_await out_.write(event)) co_await out_.finish();
--- a/src/calls/call_handler.cpp
+++ b/src/calls/call_handler.cpp
@@ -5,26 +5,19 @@
 
 #include "call_run.hpp"
 
+#include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <nlohmann/json.hpp>
-
 namespace hibiscuswall {
 namespace {
 
 auto early_refusal(error const& problem, std::string const& call_id) -> http_response
 {
     auto const& info = describe(problem.code);
-    auto const body = nlohmann::json{{"code", static_cast<int>(problem.code)},
-                                     {"name", info.name},
-                                     {"message", problem.message},
-                                     {"ran", "no"},
-                                     {"call_id", call_id}};
-    auto response =
-        json_response(info.http_status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    auto response = json_response(info.http_status, error_body(problem, ran::no, call_id));
     response.headers.set("X-Call-Id", call_id);
     response.headers.set("X-Ran", "no");
     if (info.http_status == 503) response.headers.set("Retry-After", 1LL);
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -3,6 +3,7 @@
 #include "gate_state.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -215,13 +216,8 @@
     -> asio::awaitable<void>
 {
     auto const& info = describe(code);
-    auto const body = nlohmann::json{{"code", static_cast<int>(code)},
-                                     {"name", info.name},
-                                     {"message", message},
-                                     {"ran", ran_text(execution)},
-                                     {"call_id", call_id}};
     auto response =
-        json_response(info.http_status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        json_response(info.http_status, error_body(fail(code, std::move(message)), execution, call_id));
     add_state_headers(response.headers, call_id);
     response.headers.set("Hw-Ran", ran_text(execution));
     response.headers.set("Hw-Code", static_cast<long long>(code));
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include "disconnect_watch.hpp"
 #include "read_limit.hpp"
 
+#include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -16,8 +17,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <set>
 #include <vector>
 
@@ -32,14 +31,9 @@
 constexpr auto first_read_bytes = std::size_t{4096};
 constexpr auto discard_bytes = std::size_t{16 * 1024}; // read at a time after a refusal
 
-auto error_body(result_code code, std::string_view message) -> std::string
+auto refusal(int status, result_code code, std::string message) -> http_response
 {
-    auto const& info = describe(code);
-    return nlohmann::json{{"code", static_cast<int>(code)},
-                          {"name", info.name},
-                          {"message", message},
-                          {"ran", ran_text(info.outcome)}}
-        .dump();
+    return json_response(status, error_body(fail(code, std::move(message)), describe(code).outcome));
 }
 
 auto to_request(http::request<http::string_body>&& message) -> http_request
@@ -199,15 +193,14 @@
 auto read_failure(boost::system::error_code code) -> std::optional<http_response>
 {
     if (code == http::error::body_limit)
-        return json_response(413, error_body(result_code::request_too_large, "the body exceeds the limit"));
+        return refusal(413, result_code::request_too_large, "the body exceeds the limit");
     if (code == http::error::header_limit || code == http::error::buffer_overflow)
-        return json_response(431, error_body(result_code::request_too_large, "the header exceeds the limit"));
+        return refusal(431, result_code::request_too_large, "the header exceeds the limit");
     if (code == beast::error::timeout)
-        return json_response(
-            408, error_body(result_code::request_timeout, "the request was not received in time"));
+        return refusal(408, result_code::request_timeout, "the request was not received in time");
     if (code.category() == make_error_code(http::error::bad_method).category() &&
         code != http::error::end_of_stream && code != http::error::partial_message)
-        return json_response(400, error_body(result_code::request_malformed, code.message()));
+        return refusal(400, result_code::request_malformed, code.message());
     return std::nullopt;
 }
 
@@ -302,8 +295,8 @@
 {
     auto const* handler = routes.match(request.method, request.path());
     if (handler == nullptr) {
-        co_await out.send(
-            json_response(404, error_body(result_code::resource_not_found, "no such path or method")));
+        auto missing = refusal(404, result_code::resource_not_found, "no such path or method");
+        co_await out.send(std::move(missing));
         co_return;
     }
     auto failed = std::string{};
@@ -319,7 +312,8 @@
     // GCC 12 destroys the temporary of a conditional expression inside co_await although it was not
     // constructed.
     if (failed.empty()) failed = "no answer";
-    co_await out.send(json_response(500, error_body(result_code::internal_error, failed)));
+    auto fault = refusal(500, result_code::internal_error, failed);
+    co_await out.send(std::move(fault));
 }
 
 http_server::http_server(asio::io_context& io, http_router const& routes, timeline* events,
--- a/src/weights/chunk_server.cpp
+++ b/src/weights/chunk_server.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/weights/chunk_server.hpp"
 
+#include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/weights/chunk_bitmap.hpp"
 
 #include <algorithm>
@@ -13,14 +14,6 @@
     std::size_t{16 * 1024}; // paced piece: short enough for live requests to go between
 constexpr auto whole_piece_bytes = std::size_t{256 * 1024}; // towards the local engine
 
-auto refusal(result_code code, std::string const& message) -> http_response
-{
-    auto const& info = describe(code);
-    return json_response(
-        info.http_status,
-        nlohmann::json{{"code", static_cast<int>(code)}, {"name", info.name}, {"message", message}}.dump());
-}
-
 struct byte_range {
     std::size_t first = 0;
     std::size_t size = 0;
@@ -78,9 +71,10 @@
         headers.set("Hw-Have", chunks_to_hex(store_.held(*version)));
     auto const bytes = store_.find(digest);
     if (bytes == nullptr || sending_ >= slots_) {
-        auto answer = bytes == nullptr
-                          ? refusal(result_code::chunk_unavailable, digest)
-                          : refusal(result_code::endpoint_overloaded, "every upload slot is taken");
+        auto answer =
+            bytes == nullptr
+                ? error_response(fail(result_code::chunk_unavailable, digest))
+                : error_response(fail(result_code::endpoint_overloaded, "every upload slot is taken"));
         for (auto const& header : headers.all())
             answer.headers.set(header.name, header.value);
         co_await out.send(std::move(answer));
@@ -91,7 +85,7 @@
     if (!asked.empty()) {
         auto const parsed = parse_range(asked, bytes->size());
         if (!parsed) {
-            auto answer = refusal(result_code::request_malformed, "range outside the chunk");
+            auto answer = error_response(fail(result_code::request_malformed, "range outside the chunk"));
             answer.status = 416;
             co_await out.send(std::move(answer));
             co_return;
@@ -143,7 +137,8 @@
     auto const version = find_version(name);
     auto const parts = version == nullptr ? std::vector<chunk_bytes>{} : store_.whole(*version);
     if (parts.empty()) {
-        co_await out.send(refusal(result_code::weights_not_whole, name));
+        auto answer = error_response(fail(result_code::weights_not_whole, name));
+        co_await out.send(std::move(answer));
         co_return;
     }
     auto headers = http_headers{};
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -5,6 +5,7 @@
 #include "hibiscuswall/core/result_code.hpp"
 #include "hibiscuswall/core/settings_reader.hpp"
 #include "hibiscuswall/core/sha256.hpp"
+#include "hibiscuswall/http/error_body.hpp"
 
 #include <fstream>
 #include <sstream>
@@ -93,3 +94,13 @@
         CHECK_TRUE_TEXT(page.str().find(row.str()) != std::string::npos, row.str().c_str());
     }
 }
+
+// Guards against an exception, and so a 500, for a refusal that quotes bytes which are not UTF-8.
+TEST(core, an_error_body_may_quote_any_bytes)
+{
+    auto const refusal = error_response(fail(result_code::resource_not_found, "unknown kind \"\xff\""));
+    LONGS_EQUAL(404, refusal.status);
+    auto const body = nlohmann::json::parse(refusal.body);
+    STRCMP_EQUAL("no", body["ran"].get<std::string>().c_str());
+    CHECK_FALSE(body.contains("call_id"));
+}
