Keep the names of request classes beside the class

Cause: four places mapped classes to names, one by a switch, two by arrays in the enumeration's order, one by trying all. Change: request_class_text and request_class_from_text in config/resource.hpp.

--- a/include/hibiscuswall/calls/forward_request.hpp
+++ b/include/hibiscuswall/calls/forward_request.hpp
@@ -30,7 +30,4 @@
 [[nodiscard]] auto read_forward_request(http_request const& request, time_point now,
                                         milliseconds default_deadline) -> result<forward_request>;
 
-// "booking", "status" or "drafting".
-[[nodiscard]] auto request_class_text(request_class priority) -> std::string_view;
-
 } // namespace hibiscuswall
--- a/include/hibiscuswall/config/resource.hpp
+++ b/include/hibiscuswall/config/resource.hpp
@@ -3,8 +3,11 @@
 
 #include "hibiscuswall/core/time.hpp"
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -17,6 +20,21 @@
     booking,
 };
 
+inline constexpr auto request_class_names = std::array<std::string_view, 3>{"drafting", "status", "booking"};
+
+[[nodiscard]] constexpr auto request_class_text(request_class priority) -> std::string_view
+{
+    return request_class_names.at(static_cast<std::size_t>(priority));
+}
+
+// Nothing for a text that names no class.
+[[nodiscard]] constexpr auto request_class_from_text(std::string_view text) -> std::optional<request_class>
+{
+    for (auto i = std::size_t{0}; i < request_class_names.size(); ++i)
+        if (request_class_names.at(i) == text) return static_cast<request_class>(i);
+    return std::nullopt;
+}
+
 enum class service_type {
     engine,
     plain,
--- a/src/calls/call_handler.cpp
+++ b/src/calls/call_handler.cpp
@@ -24,12 +24,6 @@
     return response;
 }
 
-auto class_name(request_class priority) -> std::string_view
-{
-    constexpr std::string_view names[] = {"drafting", "status", "booking"};
-    return names[static_cast<int>(priority)];
-}
-
 // ---- plain functions: GCC 12 destroys the temporaries of a braced list inside a coroutine twice
 
 auto note_early(process_context& context, error const& problem) -> void
@@ -40,7 +34,7 @@
 auto note_time(process_context& context, request_class priority, time_point started) -> void
 {
     auto const took = std::chrono::duration<double>(clock::now() - started).count();
-    context.measures.observe("call_seconds", {{"class", class_name(priority)}}, took);
+    context.measures.observe("call_seconds", {{"class", request_class_text(priority)}}, took);
 }
 
 auto note_unfinished(std::string const& call_id, error const& problem) -> void
--- a/src/calls/forward_answer.cpp
+++ b/src/calls/forward_answer.cpp
@@ -1,7 +1,5 @@
 #include "hibiscuswall/calls/forward_answer.hpp"
 
-#include "hibiscuswall/calls/forward_request.hpp"
-
 namespace hibiscuswall {
 namespace {
 
--- a/src/calls/forward_request.cpp
+++ b/src/calls/forward_request.cpp
@@ -1,35 +1,12 @@
 #include "hibiscuswall/calls/forward_request.hpp"
 
-#include <array>
-#include <optional>
-
 namespace hibiscuswall {
 namespace {
 
 constexpr auto longest_deadline_ms = 24LL * 3'600 * 1'000;
 
-auto class_from_text(std::string_view text) -> std::optional<request_class>
-{
-    for (auto const candidate : {request_class::booking, request_class::status, request_class::drafting})
-        if (request_class_text(candidate) == text) return candidate;
-    return std::nullopt;
-}
-
 } // namespace
 
-auto request_class_text(request_class priority) -> std::string_view
-{
-    switch (priority) {
-    case request_class::booking:
-        return "booking";
-    case request_class::status:
-        return "status";
-    case request_class::drafting:
-        return "drafting";
-    }
-    return "drafting";
-}
-
 auto read_forward_request(http_request const& request, time_point now, milliseconds default_deadline)
     -> result<forward_request>
 {
@@ -37,7 +14,7 @@
     for (auto const* name : {"Hw-Call-Id", "Hw-Class", "Hw-Method", "Hw-Target"})
         if (headers.find(name).empty())
             return fail(result_code::request_malformed, std::string{name} + " is required");
-    auto const priority = class_from_text(headers.find("Hw-Class"));
+    auto const priority = request_class_from_text(headers.find("Hw-Class"));
     if (!priority)
         return fail(result_code::request_malformed, "Hw-Class must be booking, status or drafting");
     if (!headers.find("Hw-Target").starts_with('/'))
--- a/src/config/resource_parser.cpp
+++ b/src/config/resource_parser.cpp
@@ -9,10 +9,9 @@
 namespace hibiscuswall {
 namespace {
 
-constexpr auto name_limit = std::size_t{63};                              // bytes
-constexpr auto requests_limit = 100'000LL;                                // sanity bound of limits and queues
-constexpr auto unconfirmed_limit = 86'400'000LL;                          // one day in ms
-constexpr auto class_names = std::array{"drafting", "status", "booking"}; // in the order of request_class
+constexpr auto name_limit = std::size_t{63};     // bytes
+constexpr auto requests_limit = 100'000LL;       // sanity bound of limits and queues
+constexpr auto unconfirmed_limit = 86'400'000LL; // one day in ms
 
 auto valid_name(std::string_view name) -> bool
 {
@@ -72,9 +71,9 @@
     if (!rule.path_prefix.empty() && rule.path_prefix.front() != '/')
         reader.complain("path_prefix", "must begin with '/'");
     if (!reader.has("class")) reader.complain("class", "is required");
-    auto const name = reader.choice("class", "drafting", {"drafting", "status", "booking"});
-    auto const at = std::find(class_names.begin(), class_names.end(), name);
-    if (at != class_names.end()) rule.priority = static_cast<request_class>(at - class_names.begin());
+    auto const name =
+        reader.choice("class", "drafting", {request_class_names.begin(), request_class_names.end()});
+    rule.priority = request_class_from_text(name).value_or(rule.priority);
     rule.idempotent = reader.boolean("idempotent", false);
     reader.finish();
     return rule;
