Read the engine's status once for each look during a load

Cause: each look asked for the status twice, once for the weights and once for the instance; the name of a version and the retry pause stood in two files. Change: has_loaded and is_other_instance judge one status; weights_id in manifest.hpp; one retry_pause.

--- a/include/hibiscuswall/weights/manifest.hpp
+++ b/include/hibiscuswall/weights/manifest.hpp
@@ -24,6 +24,12 @@
 constexpr auto max_chunk_bytes = std::uint64_t{64} << 20U; // the transport's largest body
 constexpr auto max_chunks = std::size_t{1} << 20U;
 
+// "model/version", the name under which peers ask for it.
+[[nodiscard]] inline auto weights_id(std::string_view model, std::string_view version) -> std::string
+{
+    return std::string{model} + "/" + std::string{version};
+}
+
 struct manifest {
     std::string model;
     std::string version;
@@ -33,8 +39,7 @@
     std::string digest;              // SHA-256 of text
     std::string text;                // as the source served it
 
-    // "model/version", the name under which peers ask for it.
-    [[nodiscard]] auto id() const -> std::string { return model + "/" + version; }
+    [[nodiscard]] auto id() const -> std::string { return weights_id(model, version); }
 };
 
 using manifest_ptr = std::shared_ptr<manifest const>;
--- a/include/hibiscuswall/weights/weights_service.hpp
+++ b/include/hibiscuswall/weights/weights_service.hpp
@@ -2,8 +2,8 @@
 // Keeps a host at the weights that its ModelServing declares: manifest, transfer, activation, and the same
 // again when the declaration changes or the engine restarts cold.
 //
-//   auto weights = weights_service{context, config, members, store, &engine, gate, {weight_store, origin},
-//   s}; weights.start();
+//   auto weights = weights_service{context, config, members, store, &engine, gate, sources, settings};
+//   weights.start();
 //
 // Serves GET /chunks/, GET /weights/, weights.have, weights.manifest, weights.status. Beside a plain service
 // (no engine) it does nothing but answer those.
@@ -44,6 +44,8 @@
     [[nodiscard]] auto status() const -> nlohmann::json;
 
 private:
+    static constexpr auto retry_pause = milliseconds{500}; // after what has to be tried again
+
     struct version_record {
         version_machine machine;
         manifest_ptr chunks; // null until the manifest came
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -19,33 +19,41 @@
     return fail(result_code::endpoint_cold, "the engine restarted during the load");
 }
 
+auto has_loaded(engine_status const& found, served_weights const& target) -> bool
+{
+    return found.state != engine_state::cold && found.version == target.version &&
+           found.manifest_digest == target.manifest_digest && found.adapter == target.adapter;
+}
+
+auto is_other_instance(engine_status const& found, std::string const& instance) -> bool
+{
+    return !instance.empty() && found.instance != instance;
+}
+
 } // namespace
 
 auto activation::reports(served_weights target) -> asio::awaitable<result<bool>>
 {
     auto status = co_await engine_.status();
     if (!status) co_return status.error();
-    auto const& now = status.value();
-    auto const same = now.version == target.version && now.manifest_digest == target.manifest_digest &&
-                      now.adapter == target.adapter;
-    auto const loaded = same && now.state != engine_state::cold;
+    auto const loaded = has_loaded(status.value(), target);
     co_return loaded;
 }
 
 auto activation::has_restarted(std::string instance) -> asio::awaitable<bool>
 {
     auto status = co_await engine_.status();
-    co_return status && !instance.empty() && status.value().instance != instance;
+    auto const restarted = status && is_other_instance(status.value(), instance);
+    co_return restarted;
 }
 
 auto activation::probe(served_weights target, std::string instance) -> asio::awaitable<result<void>>
 {
     auto const until = clock::now() + settings_.load_timeout;
     while (clock::now() < until) {
-        auto same = co_await reports(target);
-        if (same && same.value()) co_return success();
-        auto const restarted = co_await has_restarted(instance);
-        if (restarted) co_return restart_error();
+        auto status = co_await engine_.status();
+        if (status && has_loaded(status.value(), target)) co_return success();
+        if (status && is_other_instance(status.value(), instance)) co_return restart_error();
         co_await sleep_for(settings_.probe_period);
     }
     co_return fail(result_code::load_rejected, "the engine did not report " + target.manifest_digest);
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -17,7 +17,6 @@
 namespace hibiscuswall {
 namespace {
 
-constexpr auto retry_pause = milliseconds{500};   // after a manifest or an order that has to be tried again
 constexpr auto manifest_drawers = std::size_t{2}; // hosts of a region that ask the source for a manifest
 constexpr auto manifest_patience = seconds{5};    // then any host asks the source itself
 
@@ -27,8 +26,6 @@
            left.failure_domains == right.failure_domains && left.batch == right.batch;
 }
 
-auto id_of(model_serving const& target) -> std::string { return target.model + "/" + target.version; }
-
 } // namespace
 
 weights_service::weights_service(process_context& context, config_source& config, member_source& members,
@@ -70,12 +67,12 @@
     if (serving == nullptr || (target_ && same_target(*target_, *serving))) return;
     target_ = *serving;
     ++generation_;
-    auto const declared = id_of(*serving);
+    auto const declared = weights_id(serving->model, serving->version);
     std::erase_if(records_, [&](auto const& entry) { return entry.first != active_id_; });
     records_.erase(declared);
     records_[declared].declared_at = clock::now();
     if (moving_ != nullptr) moving_->cancel();
-    context_.events.record("weights_declared", {{"version", id_of(*serving)}});
+    context_.events.record("weights_declared", {{"version", weights_id(serving->model, serving->version)}});
     asio::co_spawn(context_.io, work(generation_, *serving), asio::detached);
 }
 
@@ -83,7 +80,7 @@
 
 auto weights_service::work(std::uint64_t generation, model_serving target) -> asio::awaitable<void>
 {
-    auto const id = id_of(target);
+    auto const id = weights_id(target.model, target.version);
     auto const version = co_await prepare(generation, target);
     if (version == nullptr || !wanted(generation)) co_return;
     auto const weights = served_weights{target.model, target.adapter, target.version, version->digest};
@@ -97,7 +94,7 @@
 
 auto weights_service::prepare(std::uint64_t generation, model_serving target) -> asio::awaitable<manifest_ptr>
 {
-    auto const id = id_of(target);
+    auto const id = weights_id(target.model, target.version);
     while (wanted(generation)) {
         auto found = co_await fetch_manifest(target);
         if (!wanted(generation)) break;
@@ -117,7 +114,7 @@
 // Few hosts of a region ask the source, the others ask those: a manifest of many chunks is not small.
 auto weights_service::fetch_manifest(model_serving target) -> asio::awaitable<result<manifest_ptr>>
 {
-    auto const id = id_of(target);
+    auto const id = weights_id(target.model, target.version);
     if (auto held = chunks_.version(id)) co_return held;
     auto names = std::vector<std::string>{context_.self.name};
     for (auto const& host : region_hosts(target))
@@ -260,7 +257,7 @@
     }
     return {{"host", context_.self.name},
             {"active", active_id_},
-            {"declared", target_ ? id_of(*target_) : ""},
+            {"declared", target_ ? weights_id(target_->model, target_->version) : ""},
             {"staged_bytes", chunks_.reserved_bytes()},
             {"staged_limit", settings_.staged_bytes},
             {"versions", std::move(versions)}};
--- a/src/weights/weights_service_activation.cpp
+++ b/src/weights/weights_service_activation.cpp
@@ -7,13 +7,10 @@
 namespace hibiscuswall {
 namespace {
 
-constexpr auto retry_pause = milliseconds{500};  // after an order that has to be tried again
 constexpr auto slot_pause = milliseconds{200};   // between looks at the rest of the failure domain
 constexpr auto order_pause = milliseconds{50};   // until a running order is looked at again
 constexpr auto engine_pause = milliseconds{500}; // between looks at an engine that serves
 
-auto id_of(model_serving const& target) -> std::string { return target.model + "/" + target.version; }
-
 // Whether a failed order is worth another try with the same version.
 auto is_put_off(result_code code) -> bool
 {
@@ -25,7 +22,7 @@
 auto weights_service::activate(std::uint64_t generation, model_serving target, served_weights weights)
     -> asio::awaitable<bool>
 {
-    auto const id = id_of(target);
+    auto const id = weights_id(target.model, target.version);
     while (wanted(generation)) {
         auto same = co_await activation_->reports(weights);
         if (!wanted(generation)) break;
@@ -155,7 +152,7 @@
 
 auto weights_service::watch_engine(std::uint64_t generation, served_weights weights) -> asio::awaitable<void>
 {
-    auto const id = weights.model + "/" + weights.version;
+    auto const id = weights_id(weights.model, weights.version);
     while (wanted(generation)) {
         co_await sleep_for(engine_pause);
         auto same = co_await activation_->reports(weights);
