--- a/include/hibiscuswall/api/resource_api.hpp
+++ b/include/hibiscuswall/api/resource_api.hpp
@@ -8,14 +8,12 @@
 #include "hibiscuswall/config/config_service.hpp"
 #include "hibiscuswall/core/process_context.hpp"
 #include "hibiscuswall/membership/member_source.hpp"
-#include "hibiscuswall/platform/key_value_client.hpp"
 
 namespace hibiscuswall {
 
 class resource_api {
 public:
-    resource_api(process_context& context, config_service& config, key_value_client& store,
-                 member_source& members);
+    resource_api(process_context& context, config_service& config, member_source& members);
 
 private:
     auto answer_resources(http_request const& request) -> http_response;
--- a/include/hibiscuswall/calls/request_gate.hpp
+++ b/include/hibiscuswall/calls/request_gate.hpp
@@ -3,7 +3,6 @@
 // refuses it with a true "not run", lets it wait, or forwards it and relays the answer.
 //
 //   auto gate = request_gate{context, config, endpoint, admission};
-//   gate.on_engine_changed([&](engine_change const& what) { ...order the weights again... });
 //   gate.on_live_bytes([&](live_bytes const& moved) { ...charge the host's link... });
 //   gate.start();
 //   gate.begin_leaving();                        // no new work; then wait until in_flight() is 0
@@ -25,12 +24,6 @@
 
 namespace hibiscuswall {
 
-// The engine no longer serves what was ordered; admission is closed already.
-struct engine_change {
-    bool new_instance = false; // it restarted
-    engine_status status;      // as read
-};
-
 // What live requests moved over this host's link, in bytes of the bodies.
 struct live_bytes {
     std::uint64_t received = 0; // from entries
@@ -47,9 +40,6 @@
 
     auto start() -> void;
 
-    // Called on the network thread, after admission was closed.
-    auto on_engine_changed(std::function<void(engine_change const&)> callback) -> void;
-
     // Called on the network thread for each request and for each piece of an answer, before it is sent.
     auto on_live_bytes(std::function<void(live_bytes const&)> callback) -> void;
 
--- a/include/hibiscuswall/core/settings_reader.hpp
+++ b/include/hibiscuswall/core/settings_reader.hpp
@@ -5,9 +5,11 @@
 //   auto reader = settings_reader{document, "", errors};
 //   settings.name = reader.text("name");
 //   settings.port = reader.integer("port", 8080, 1, 65535);
-//   auto limits = reader.child("limits");  settings.queue = limits.integer("queue", 64, 1, 10000);
-//   limits.finish(); reader.finish();                       // reports fields that nobody read if
-//   (!errors.empty()) ...               // "limits.queue: 0 is below 1"
+//   auto limits = reader.child("limits");
+//   settings.queue = limits.integer("queue", 64, 1, 10000);
+//   limits.finish();
+//   reader.finish();                       // reports fields that nobody read
+//   if (!errors.empty()) ...               // "limits.queue: 0 is below 1"
 
 #include "hibiscuswall/core/address.hpp"
 #include "hibiscuswall/core/time.hpp"
@@ -41,8 +43,7 @@
         -> milliseconds;                                          // a number of milliseconds >= 0
     auto texts(std::string_view key) -> std::vector<std::string>; // empty when absent
     auto optional_address(std::string_view key) -> address;       // empty when absent
-
-    auto optional_ip(std::string_view key) -> std::string; // empty when absent
+    auto optional_ip(std::string_view key) -> std::string;        // empty when absent
 
     // An absent child reads as an empty object.
     auto child(std::string_view key) -> settings_reader;
--- a/include/hibiscuswall/daemon/daemon_base.hpp
+++ b/include/hibiscuswall/daemon/daemon_base.hpp
@@ -29,11 +29,9 @@
 
     // The control listener serves context().control.
     auto listen_control(address const& where, http_server_limits limits) -> result<void>;
-    [[nodiscard]] auto control_server() -> http_server&;
 
     // /readyz answers 200 while every check holds and no stop has begun.
     auto ready_when(std::function<bool()> check) -> void;
-    [[nodiscard]] auto stopping() const -> bool;
 
     // Steps run in the order they were added, once, after the signal.
     auto on_stop(stop_step step) -> void;
--- a/include/hibiscuswall/membership/exchange_message.hpp
+++ b/include/hibiscuswall/membership/exchange_message.hpp
@@ -4,10 +4,9 @@
 //   auto body = encode(message);
 //   auto message = decode_exchange(body);      // nothing when malformed, too large or of another version
 //
-// Shape: [1, member or null, [name, incarnation, state] or null, config revision, confirmed age in ms or
-// null,
-//         digest, [member, ...]]
-// member: [name, role, "ip:port", region, failure domain, service, incarnation, state, config revision]
+// Shape: [1, sender, addressee, config revision, confirmed age in ms, digest, [member, ...]]; sender,
+// addressee and age may be null. Addressee: [name, incarnation, state].
+// Member: [name, role, "ip:port", region, failure domain, service, incarnation, state, config revision]
 
 #include "hibiscuswall/core/time.hpp"
 #include "hibiscuswall/membership/member.hpp"
--- a/src/api/ctl_files.cpp
+++ b/src/api/ctl_files.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 namespace hibiscuswall {
+
 auto read_resource_files(std::vector<std::string> const& paths) -> result<std::vector<declared_resource>>
 {
     auto declared = std::vector<declared_resource>{};
--- a/src/api/resource_api.cpp
+++ b/src/api/resource_api.cpp
@@ -97,8 +97,7 @@
 
 } // namespace
 
-resource_api::resource_api(process_context& context, config_service& config, key_value_client& /*store*/,
-                           member_source& members)
+resource_api::resource_api(process_context& context, config_service& config, member_source& members)
     : context_{context}, config_{config}, status_{context, config, members}
 {
     auto& routes = context_.control;
--- a/src/calls/engine_watch.cpp
+++ b/src/calls/engine_watch.cpp
@@ -119,7 +119,6 @@
                    {"ordered", ordered->manifest_digest},
                    {"found", found.manifest_digest}});
         context.events.record("engine_changed", {{"instance", found.instance}, {"found", found.version}});
-        if (engine_changed) engine_changed({restarted, found});
         return;
     }
     if (turned_cold) {
--- a/src/calls/gate_state.hpp
+++ b/src/calls/gate_state.hpp
@@ -121,7 +121,6 @@
     std::uint64_t cold_turns = 0;                    // resets of the limit so far
     std::string instance;                            // engine instance of the last status; empty: unknown
     engine_state reported = engine_state::ready;     // by the last status
-    std::function<void(engine_change const&)> engine_changed;
     std::function<void(live_bytes const&)> link_charged;
 
     std::map<std::uint64_t, std::shared_ptr<waiting_call>> waiting;
--- a/src/calls/request_gate.cpp
+++ b/src/calls/request_gate.cpp
@@ -322,11 +322,6 @@
     state_->move(endpoint_event::served);
 }
 
-auto request_gate::on_engine_changed(std::function<void(engine_change const&)> callback) -> void
-{
-    state_->engine_changed = std::move(callback);
-}
-
 auto request_gate::on_live_bytes(std::function<void(live_bytes const&)> callback) -> void
 {
     state_->link_charged = std::move(callback);
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -119,12 +119,10 @@
     return state_->server->listen(where);
 }
 
-auto daemon_base::control_server() -> http_server& { return *state_->server; }
 auto daemon_base::ready_when(std::function<bool()> check) -> void
 {
     state_->ready_checks.push_back(std::move(check));
 }
-auto daemon_base::stopping() const -> bool { return state_->stopping; }
 auto daemon_base::on_stop(stop_step step) -> void { state_->stop_steps.push_back(std::move(step)); }
 
 auto daemon_base::run() -> int
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 namespace hibiscuswall {
+
 auto parse_daemon_options(std::string_view program, int argc, char const* const* argv)
     -> result<daemon_options>
 {
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -22,7 +22,7 @@
     stop_settings stop;
 
     entry_modules(entry_settings const& settings, std::uint64_t seed)
-        : core{settings, seed}, api{core.base.context(), core.config, core.store, core.members},
+        : core{settings, seed}, api{core.base.context(), core.config, core.members},
           calls{core.base.context(), core.config, core.members, core.store, settings.calls, callers},
           caller_server{core.base.context().io, callers, &core.base.context().events, {}}, stop{settings.stop}
     {
--- a/tests/integration/request_gate_test.cpp
+++ b/tests/integration/request_gate_test.cpp
@@ -68,7 +68,6 @@
     std::string answered_version = "v1";
     int runs = 0;
     int cancels = 0;
-    int changes = 0;
     bool cut = false;
     milliseconds service_time{0};
 
@@ -94,7 +93,6 @@
         settings.poll_interval = milliseconds{10};
         start_endpoint();
         gate = std::make_unique<request_gate>(*context, config, settings, admission_settings{});
-        gate->on_engine_changed([this](engine_change const& /*what*/) { ++changes; });
         rpc.serve(routes);
         server = std::make_unique<http_server>(io, routes, nullptr, http_server_limits{});
         CHECK(server->listen(where).has_value());
@@ -250,7 +248,7 @@
     runs = 0;
     digest = "other";
     run_for(milliseconds{60});
-    LONGS_EQUAL(1, changes);
+    DOUBLES_EQUAL(1, measures.value("engine_changes_total"), 0);
     CHECK_FALSE(gate->serving().has_value());
     check_not_run(send(request("b", true)), result_code::endpoint_cold);
     digest = "digest-1";
@@ -264,7 +262,7 @@
     run_for(milliseconds{40});
     instance = "two";
     run_for(milliseconds{60});
-    LONGS_EQUAL(1, changes);
+    DOUBLES_EQUAL(1, measures.value("engine_changes_total"), 0);
     check_not_run(send(request("b", true)), result_code::endpoint_cold);
 }
 
--- a/tests/support/test_process.hpp
+++ b/tests/support/test_process.hpp
@@ -21,7 +21,7 @@
                                                           measures, random},
           kv{client, {store}, milliseconds{500}}, table{membership}, config{context, kv, table, settings},
           hosts{client, store, milliseconds{100}}, gossip{context, table, config, hosts, membership},
-          api{context, config, kv, table}, server{io, control, &events, {}}
+          api{context, config, table}, server{io, control, &events, {}}
     {
         rpc.serve(control);
         control.add("GET", "/timeline",
