Count the time that a call waited unread in the socket against its deadline

Cause: an entry took a call's arrival for the moment at which it had read the whole request.

Ruled out: the tick of the watch as a bound. The first request of a connection is read after the accept, by when the tick has run again; and it would take time from calls that came at the end of the gap.

Change: the server asks the kernel how long ago the last bytes came (TCP_INFO) when it reads the first bytes of a request; the call's arrival, its deadline and its wait go by that. call_ended says unread_ms.

--- a/include/hibiscuswall/http/http_message.hpp
+++ b/include/hibiscuswall/http/http_message.hpp
@@ -4,6 +4,8 @@
 //   auto request = http_request{"POST", "/v1/orders", {}, body};
 //   request.headers.set("Content-Type", "application/json");
 
+#include "hibiscuswall/core/time.hpp"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -44,6 +46,7 @@
     std::string target = "/";   // path with query
     http_headers headers;       // Host, Content-Length and Connection are set by the transport
     std::string body;           // whole body
+    time_point received;        // first bytes reached this machine; set by the server only
 
     http_request() = default;
     http_request(std::string verb, std::string where, http_headers fields = {}, std::string content = {})
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -58,7 +58,8 @@
     call_route const* route = nullptr;       // in map
     client_account const* account = nullptr; // in map; null: none needed
     service_entry const* service = nullptr;  // in map
-    time_point arrived;                      // whole request read
+    time_point arrived;                      // first bytes reached this machine
+    time_point read;                         // whole request read by this process
     time_point deadline;                     // final answer at the latest
 
     std::set<std::string> tried;        // ids of endpoints that are not asked again
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "disconnect_watch.hpp"
 #include "read_limit.hpp"
+#include "unread_time.hpp"
 
 #include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/observe/log.hpp"
@@ -250,6 +251,7 @@
 {
     auto buffer = beast::flat_buffer{limits.header_bytes + limits.body_bytes};
     while (!stopping) {
+        auto received = clock::now();
         // Waits for the first byte with the idle timeout, then reads the whole request with its own.
         if (buffer.size() == 0) {
             idle.insert(&stream);
@@ -259,6 +261,7 @@
             idle.erase(&stream);
             if (idle_code) co_return;
             buffer.commit(size);
+            received = clock::now() - unread_time(stream.socket());
         }
 
         auto parser = http::request_parser<http::string_body>{};
@@ -278,7 +281,8 @@
         }
 
         auto const keep_alive = parser.get().keep_alive();
-        auto const request = to_request(parser.release());
+        auto request = to_request(parser.release());
+        request.received = received;
         if (events != nullptr && request.headers.contains("Hw-Clock"))
             events->observe(static_cast<std::uint64_t>(request.headers.number("Hw-Clock", 0)));
         auto out = responder{stream, *this, watch, keep_alive};
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -60,7 +60,8 @@
 auto call_relay::serve(http_request const& request, http_responder& out) -> asio::awaitable<void>
 {
     auto call = relayed_call{request, out};
-    call.arrived = clock::now();
+    call.arrived = request.received;
+    call.read = clock::now();
     call.fields = platform::decode_call(request.headers);
     call.deadline = call.arrived + call.fields.time_left.value_or(default_time);
     if (auto found = look_up(call); !found) {
@@ -68,7 +69,7 @@
         co_return co_await refuse(call, found.error(), missing ? milliseconds{500} : milliseconds{0});
     }
     call.deadline = std::min(call.deadline, call.arrived + call.route->timeout);
-    budget_of(call.service->name).on_call(call.arrived);
+    budget_of(call.service->name).on_call(call.read);
     set_shed(call);
     active_.insert(&call);
     out.on_disconnect([&call] {
@@ -344,6 +345,7 @@
                {"last_endpoint", call.tried.empty() ? "none" : *call.tried.rbegin()},
                {"first_ms", streaming ? ms_text(call.first_event_at - call.arrived) : "none"},
                {"longest_gap_ms", ms_text(call.longest_gap)},
+               {"unread_ms", ms_text(call.read - call.arrived)},
                {"total_ms", ms_text(now - call.arrived)},
                {"config_version", call.map == nullptr ? "none" : std::to_string(call.map->version())}});
 }
--- a/tests/integration/call_handler_test.cpp
+++ b/tests/integration/call_handler_test.cpp
@@ -7,7 +7,7 @@
 #include "hibiscuswall/http/http_server.hpp"
 
 #include "standins/support/key_value_table.hpp"
-#include "support/free_port.hpp"
+#include "support/port_pool.hpp"
 #include "support/run_coroutine.hpp"
 
 #include <nlohmann/json.hpp>
@@ -201,10 +201,10 @@
     std::unique_ptr<http_server> store_server;
     played_agent one{"one"};
     played_agent two{"two"};
-    address store_at = free_address();
+    address store_at = port_pool::next();
     key_value_client kv{context.client, {store_at}, milliseconds{200}};
     http_router callers;
-    address entry_at = free_address();
+    address entry_at = port_pool::next();
     std::unique_ptr<http_server> entry;
     std::unique_ptr<call_handler> handler;
     call_settings settings;
@@ -256,7 +256,7 @@
     {
         auto host = member{};
         host.name = agent.name;
-        host.control = free_address();
+        host.control = port_pool::next();
         host.failure_domain = std::move(domain);
         host.service = "booking";
         host.incarnation = 1;
--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -359,6 +360,23 @@
     CHECK(again > 0);
 }
 
+// Guards against an endpoint that works past the caller's deadline because the call waited in the socket of
+// an entry that was paused, or that lacked the processor time to read it.
+TEST(direct_calls, time_that_a_call_waited_unread_is_not_handed_on)
+{
+    auto endpoint =
+        played_endpoint{[](auto const& request) { return played_answer{whole(request, "hello")}; }};
+    begin({&endpoint});
+    CHECK_EQUAL(200, ask("/read/first").status);
+    entry.send_signal(SIGSTOP);
+    auto answer = std::async(std::launch::async, [&] { return ask("/read/waited"); });
+    std::this_thread::sleep_for(milliseconds{800});
+    entry.send_signal(SIGCONT);
+    CHECK_EQUAL(200, answer.get().status);
+    auto const left = std::atoi(endpoint.requests().back().header("x-hibiscuswall-deadline-ms").c_str());
+    CHECK_TEXT(left > 0 && left <= 750, std::to_string(left).c_str()); // 1500 less the pause
+}
+
 // ---- streams
 
 TEST_GROUP_BASE(direct_streams, direct_base){
--- a/tests/integration/http_test.cpp
+++ b/tests/integration/http_test.cpp
@@ -3,7 +3,7 @@
 #include "hibiscuswall/http/http_client.hpp"
 #include "hibiscuswall/http/http_server.hpp"
 
-#include "support/free_port.hpp"
+#include "support/port_pool.hpp"
 #include "support/run_coroutine.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -49,7 +49,7 @@
 {
     asio::io_context io;
     http_router routes;
-    address where = free_address();
+    address where = port_pool::next();
     http_client client{io, nullptr};
     http_server_limits limits;
     std::unique_ptr<http_server> server;
@@ -129,7 +129,7 @@
 // Guards against an answer whose end cannot be told from a cut.
 TEST(http, an_unreachable_address_is_told_as_nothing_sent)
 {
-    auto answer = run(client.fetch(free_address(), {"GET", "/", {}, {}}));
+    auto answer = run(client.fetch(port_pool::next(), {"GET", "/", {}, {}}));
     CHECK(answer.error().code == result_code::connect_failed);
 }
 
@@ -176,7 +176,7 @@
 TEST(http, connections_that_the_other_side_closed_are_not_kept)
 {
     limits.idle_timeout = milliseconds{50};
-    auto const elsewhere = free_address();
+    auto const elsewhere = port_pool::next();
     auto brief = http_server{io, routes, nullptr, limits};
     CHECK(brief.listen(elsewhere).has_value());
     CHECK(run(client.fetch(elsewhere, {"POST", "/echo", {}, "once"})).has_value());
@@ -201,7 +201,7 @@
 // ones that passes for the end of the answer.
 TEST(http, chunks_that_arrive_together_are_one_piece)
 {
-    auto acceptor = asio::ip::tcp::acceptor{io, {asio::ip::make_address(where.ip), free_address().port}};
+    auto acceptor = asio::ip::tcp::acceptor{io, {asio::ip::make_address(where.ip), port_pool::next().port}};
     auto const at = address{where.ip, acceptor.local_endpoint().port()};
     auto const answer_with = [&](std::string const& chunks) {
         auto bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
--- a/tests/integration/request_gate_test.cpp
+++ b/tests/integration/request_gate_test.cpp
@@ -4,7 +4,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/http/http_server.hpp"
 
-#include "support/free_port.hpp"
+#include "support/port_pool.hpp"
 #include "support/run_coroutine.hpp"
 
 #include <optional>
@@ -56,12 +56,12 @@
     fixed_config config;
     std::unique_ptr<request_gate> gate;
     std::unique_ptr<http_server> server;
-    address where = free_address();
+    address where = port_pool::next();
 
     // ---- endpoint behind the gate
     http_router endpoint_routes;
     std::unique_ptr<http_server> endpoint;
-    address endpoint_where = free_address();
+    address endpoint_where = port_pool::next();
     std::string instance = "one";
     std::string digest = "digest-1";
     std::string engine_text_state = "ready";
--- a/tests/integration/weights_activation_test.cpp
+++ b/tests/integration/weights_activation_test.cpp
@@ -3,7 +3,7 @@
 #include "hibiscuswall/weights/activation.hpp"
 
 #include "standins/support/key_value_table.hpp"
-#include "support/free_port.hpp"
+#include "support/port_pool.hpp"
 #include "support/run_coroutine.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -45,7 +45,7 @@
     http_client client{io, nullptr};
     rpc_dispatcher rpc;
     http_router control;
-    address where = free_address();
+    address where = port_pool::next();
     process_context context{io, {}, client, rpc, control, events, measures, random};
     http_router routes;
     std::unique_ptr<http_server> server;
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -6,7 +6,7 @@
 //   store.down = true;               // every call answers 503
 #include "hibiscuswall/http/http_server.hpp"
 #include "standins/support/key_value_table.hpp"
-#include "support/free_port.hpp"
+#include "support/port_pool.hpp"
 
 namespace hibiscuswall {
 
@@ -18,7 +18,7 @@
         if (!server.listen(where)) std::abort();
     }
 
-    address where = free_address();
+    address where = port_pool::next();
     http_router routes;
     http_server server;
 };
--- a/tests/support/test_process.hpp
+++ b/tests/support/test_process.hpp
@@ -8,7 +8,7 @@
 #include "hibiscuswall/config/config_service.hpp"
 #include "hibiscuswall/http/http_server.hpp"
 #include "hibiscuswall/membership/gossip_service.hpp"
-#include "support/free_port.hpp"
+#include "support/port_pool.hpp"
 
 namespace hibiscuswall {
 
@@ -36,7 +36,7 @@
         auto self = member{};
         self.name = std::move(name);
         self.role = role;
-        self.control = free_address();
+        self.control = port_pool::next();
         self.region = "region-of-" + domain;
         self.failure_domain = std::move(domain);
         self.incarnation = 1000;
