Encode an agent's news once for all its readers

An agent made the whole datagram anew for each entry, about 83 times a second.

Change: the part that all readers share is encoded once; the datagram of one reader adds its two echo numbers.

--- a/include/hibiscuswall/serving/load_news.hpp
+++ b/include/hibiscuswall/serving/load_news.hpp
@@ -37,8 +37,8 @@
     std::uint64_t operator_revision = 0;   // newest operators' change that a subscriber knows
     std::optional<address> best_informed;  // peer address of that subscriber
     double shed_level = 0;                 // mean of its subscribers
-    std::int64_t echo_us = 0;              // sent_at_us of the reader's latest subscription
-    std::int64_t held_us = 0;              // how long ago that came
+    std::int64_t echo_us = 0; // sent_at_us of the reader's latest subscription; set by addressed()
+    std::int64_t held_us = 0; // how long ago that came; set by addressed()
 };
 
 // Agent to agent, while a version spreads.
@@ -51,7 +51,13 @@
 using datagram = std::variant<subscription, engine_news, chunk_holdings>;
 
 [[nodiscard]] auto encode(subscription const& message) -> std::string;
+
+// News are the same for all their readers but for the echo: encode() makes the common part, once for all of
+// them, and addressed() the datagram of one reader.
 [[nodiscard]] auto encode(engine_news const& message) -> std::string;
+[[nodiscard]] auto addressed(std::string_view encoded_news, std::int64_t echo_us, std::int64_t held_us)
+    -> std::string;
+
 [[nodiscard]] auto encode(chunk_holdings const& message) -> std::string;
 
 // None for anything that is not of this version or malformed.
--- a/src/fleet/load_exchange.cpp
+++ b/src/fleet/load_exchange.cpp
@@ -199,11 +199,11 @@
     std::sort(news.near_entries.begin(), news.near_entries.end());
     // Entries of other regions send here only when their own engines are full.
     auto const tells_far = news.paused || announced_++ % far_period == 0;
+    auto const common = encode(news);
     for (auto const& [to, entry] : subscribers_) {
         if (!tells_far && entry.latest.region != self_.region) continue;
-        news.echo_us = entry.latest.sent_at_us;
-        news.held_us = std::chrono::duration_cast<microseconds>(now - entry.heard_at).count();
-        send_now(socket_, encode(news), to);
+        auto const held = std::chrono::duration_cast<microseconds>(now - entry.heard_at);
+        send_now(socket_, addressed(common, entry.latest.sent_at_us, held.count()), to);
     }
 }
 
--- a/src/serving/load_news.cpp
+++ b/src/serving/load_news.cpp
@@ -30,26 +30,29 @@
                           value.at(2).get<int>(), value.at(3).get<int>()};
 }
 
-auto news_from(json const& message) -> std::optional<datagram>
+// Inner array of a news datagram: what is the same for every reader.
+auto news_from(json const& outer) -> std::optional<datagram>
 {
-    auto const where = parse_address(message.at(1).get<std::string>());
+    auto const& bytes = outer.at(1).get_binary();
+    auto const message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    auto const where = parse_address(message.at(0).get<std::string>());
     if (!where) return std::nullopt;
     auto news = engine_news{};
     news.where = where.value();
-    news.started_at_ms = message.at(2).get<std::uint64_t>();
-    news.running = message.at(3).get<int>();
-    news.queued = message.at(4).get<int>();
-    news.pace = message.at(5).get<double>();
-    news.weights = weights_from(message.at(6));
-    news.paused = message.at(7).get<bool>();
-    news.subscribers = message.at(8).get<int>();
-    news.operator_revision = message.at(9).get<std::uint64_t>();
-    news.echo_us = message.at(10).get<std::int64_t>();
-    news.held_us = message.at(11).get<std::int64_t>();
-    news.near_entries = message.at(12).get<std::vector<std::string>>();
-    if (auto const informed = parse_address(message.at(13).get<std::string>()))
+    news.started_at_ms = message.at(1).get<std::uint64_t>();
+    news.running = message.at(2).get<int>();
+    news.queued = message.at(3).get<int>();
+    news.pace = message.at(4).get<double>();
+    news.weights = weights_from(message.at(5));
+    news.paused = message.at(6).get<bool>();
+    news.subscribers = message.at(7).get<int>();
+    news.operator_revision = message.at(8).get<std::uint64_t>();
+    news.echo_us = outer.at(2).get<std::int64_t>();
+    news.held_us = outer.at(3).get<std::int64_t>();
+    news.near_entries = message.at(9).get<std::vector<std::string>>();
+    if (auto const informed = parse_address(message.at(10).get<std::string>()))
         news.best_informed = informed.value();
-    news.shed_level = message.at(14).get<double>();
+    news.shed_level = message.at(11).get<double>();
     return news;
 }
 
@@ -64,11 +67,17 @@
 
 auto encode(engine_news const& message) -> std::string
 {
-    return to_bytes(json::array(
-        {news_tag, message.where.text(), message.started_at_ms, message.running, message.queued, message.pace,
-         weights_json(message.weights), message.paused, message.subscribers, message.operator_revision,
-         message.echo_us, message.held_us, message.near_entries,
-         message.best_informed ? message.best_informed->text() : std::string{}, message.shed_level}));
+    return to_bytes(json::array({message.where.text(), message.started_at_ms, message.running, message.queued,
+                                 message.pace, weights_json(message.weights), message.paused,
+                                 message.subscribers, message.operator_revision, message.near_entries,
+                                 message.best_informed ? message.best_informed->text() : std::string{},
+                                 message.shed_level}));
+}
+
+auto addressed(std::string_view encoded_news, std::int64_t echo_us, std::int64_t held_us) -> std::string
+{
+    auto common = json::binary_t::container_type{encoded_news.begin(), encoded_news.end()};
+    return to_bytes(json::array({news_tag, json::binary(std::move(common)), echo_us, held_us}));
 }
 
 auto encode(chunk_holdings const& message) -> std::string
--- a/tests/unit/load_news_test.cpp
+++ b/tests/unit/load_news_test.cpp
@@ -23,8 +23,6 @@
     news.operator_revision = 99;
     news.best_informed = address{"10.0.0.9", 7700};
     news.shed_level = 0.5;
-    news.echo_us = -5;
-    news.held_us = 40;
     return news;
 }
 
@@ -34,7 +32,7 @@
 
 TEST(load_news, each_kind_comes_back_as_it_was_sent)
 {
-    auto const message = decode_datagram(encode(sample()));
+    auto const message = decode_datagram(addressed(encode(sample()), -5, 40));
     auto const& news = std::get<engine_news>(*message);
     STRCMP_EQUAL("10.0.0.1:80", news.where.text().c_str());
     CHECK_EQUAL(12, news.running);
@@ -42,6 +40,7 @@
     CHECK(news.paused);
     CHECK_EQUAL(2U, news.near_entries.size());
     CHECK_EQUAL(-5, news.echo_us);
+    CHECK_EQUAL(40, news.held_us);
     DOUBLES_EQUAL(0.5, news.shed_level, 1e-9);
     STRCMP_EQUAL("10.0.0.9:7700", news.best_informed->text().c_str());
 
@@ -61,7 +60,7 @@
     CHECK_FALSE(decode_datagram("").has_value());
     CHECK_FALSE(decode_datagram("hello").has_value());
     auto random = random_source{3};
-    auto const good = encode(sample());
+    auto const good = addressed(encode(sample()), -5, 40);
     for (auto round = 0; round < 3'000; ++round) {
         auto bytes = good;
         for (auto changes = random.below(4) + 1; changes > 0; --changes)
