--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr auto program = std::string_view{"hibiscus-entry"};
-constexpr auto gather_endpoints = milliseconds{150}; // changes of endpoints within it cost one call
+constexpr auto gather_endpoints = milliseconds{400}; // changes of endpoints within it cost one call
 constexpr auto balancer_time = milliseconds{3'000};  // until the balancer sends no new connections
 constexpr auto stop_margin = milliseconds{700};      // before SIGKILL
 
