Act on signals that come while a process starts

A settings change right after a start was a crash. The handlers were installed when the loop ran first, after the settings were read and the listeners opened.

Change: SIGTERM, SIGINT and SIGHUP are blocked as the first step of both daemons, the handlers are installed before the loop runs, and what waited is delivered then; after the loop they are blocked again, since the handlers go first.

Test: early_signals raises both before the daemon exists; the code before ends the test program. Before main runs a signal ends any program: that is left.

--- a/src/daemon/agent_daemon.cpp
+++ b/src/daemon/agent_daemon.cpp
@@ -4,6 +4,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_core.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
+#include "hibiscuswall/daemon/held_signals.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/platform/engine_client.hpp"
 #include "hibiscuswall/weights/weights_service.hpp"
@@ -85,6 +86,7 @@
 
 auto run_agent(int argc, char const* const* argv) -> int
 {
+    hold_signals();
     auto const options = parse_daemon_options(program, argc, argv);
     if (options && is_direct(options.value().settings))
         return run_daemon(program, argc, argv, read_direct_agent_settings, run_direct_agent);
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/daemon/daemon_options.hpp"
+#include "hibiscuswall/daemon/held_signals.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -56,8 +57,8 @@
     }
 
     auto add_routes() -> void;
-    auto stop_on_signal() -> asio::awaitable<void>;
-    auto reload_on_signal() -> asio::awaitable<void>;
+    auto stop_on(asio::signal_set& signals) -> asio::awaitable<void>;
+    auto reload_on(asio::signal_set& signals) -> asio::awaitable<void>;
 };
 
 auto daemon_base::state::add_routes() -> void
@@ -91,9 +92,8 @@
                 });
 }
 
-auto daemon_base::state::stop_on_signal() -> asio::awaitable<void>
+auto daemon_base::state::stop_on(asio::signal_set& signals) -> asio::awaitable<void>
 {
-    auto signals = asio::signal_set{io, SIGTERM, SIGINT};
     co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
     stopping = true;
     log_event(log_level::info, "stop_begun", {});
@@ -105,9 +105,8 @@
     io.stop();
 }
 
-auto daemon_base::state::reload_on_signal() -> asio::awaitable<void>
+auto daemon_base::state::reload_on(asio::signal_set& signals) -> asio::awaitable<void>
 {
-    auto signals = asio::signal_set{io, SIGHUP};
     while (true) {
         co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
         log_event(log_level::info, "reload", {});
@@ -141,12 +140,16 @@
 
 auto daemon_base::run() -> int
 {
-    asio::co_spawn(state_->io, state_->stop_on_signal(), asio::detached);
-    asio::co_spawn(state_->io, state_->reload_on_signal(), asio::detached);
+    auto stops = asio::signal_set{state_->io, SIGTERM, SIGINT};
+    auto reloads = asio::signal_set{state_->io, SIGHUP};
+    asio::co_spawn(state_->io, state_->stop_on(stops), asio::detached);
+    asio::co_spawn(state_->io, state_->reload_on(reloads), asio::detached);
+    release_signals();
     auto const& self = state_->context.self;
     log_event(log_level::info, "started", {{"region", self.region}, {"failure_domain", self.failure_domain}});
     state_->events.record("started", {{"incarnation", std::to_string(self.incarnation)}});
     state_->io.run();
+    hold_signals(); // the handlers go: a late signal would end the process as if it had crashed
     return exit_success;
 }
 
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_core.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
+#include "hibiscuswall/daemon/held_signals.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 namespace hibiscuswall {
@@ -80,6 +81,7 @@
 
 auto run_entry(int argc, char const* const* argv) -> int
 {
+    hold_signals();
     auto const options = parse_daemon_options(program, argc, argv);
     if (options && is_direct(options.value().settings))
         return run_daemon(program, argc, argv, read_direct_entry_settings, run_direct_entry);
--- a/tests/unit/daemon_base_test.cpp
+++ b/tests/unit/daemon_base_test.cpp
@@ -1,6 +1,9 @@
 // Identity of processes. Guards against two processes, or two lives of one, that give different calls the
 // same id: an agent then takes the second call for a repeat and answers it with the first one's answer.
 #include "hibiscuswall/daemon/daemon_base.hpp"
+#include "hibiscuswall/daemon/held_signals.hpp"
+
+#include <csignal>
 
 #include <CppUTest/TestHarness.h>
 
@@ -30,3 +33,22 @@
     CHECK(id != second.context().random.id());
     CHECK(id != restarted.context().random.id());
 }
+
+TEST_GROUP(early_signals){void teardown() override{release_signals();
+}
+}
+;
+
+// Guards against a process that a reload ends because it comes before the handlers are installed. Found by
+// tools/soak --layout direct, seeds 5 and 8.
+TEST(early_signals, those_that_come_during_the_start_are_acted_on_afterwards)
+{
+    hold_signals();
+    raise(SIGHUP);
+    raise(SIGTERM);
+    auto daemon = daemon_base{process_named("entry-1", 1), 7};
+    auto reloads = 0;
+    daemon.on_reload([&] { ++reloads; });
+    CHECK_EQUAL(0, daemon.run());
+    CHECK_EQUAL(1, reloads);
+}
