Add a fault soak of entries that call the endpoints themselves

Cause: tools/soak knew only the layout with agents and the product's own configuration; the layout that runs on the users' platform had no randomized faults from outside its processes.

Entries are killed, stopped, told to reload and paused; the store is paused, silent or refuses; links to endpoints are delayed, reset, cut one way or both, broken off within an answer; endpoints leave and others take their address; configurations change; up to three series at a time. Callers use a connection until it is closed. Checked from what callers and endpoints saw: doubled, lost, false "not run", denied, foreign, cut, held, calls after an endpoint left, exits, recovery. The old layout's soak moved to tools/soaks/agent_layout.py, unchanged but for its frame.

--- a/tools/soaks/agent_layout.py
+++ b/tools/soaks/agent_layout.py
@@ -1,7 +1,5 @@
-#!/usr/bin/env python3
-"""Seeded random faults over a whole deployment, checked against the callers' and the services' own records.
+"""Soak of entries and agents before stand-in engines and services: see tools/soak.
 
-Usage: tools/soak --seed N --seconds S
 Faults: kill and restart of agents and entries, SIGSTOP and SIGCONT of agents, entries and the key-value service,
 failure domains out and in, racing applies. The checker never reads the system's own counters:
   doubled          a booking that a service recorded more than once
@@ -9,20 +7,15 @@
   false_not_run    a booking whose every attempt said "not run" but that a service recorded
   mixed            a streamed answer whose tokens name more than one weights version
   reverted         a process that reported a lower configuration revision than before
-Exit code 1 when one of them is not 0. The seed repeats the choice of faults and calls; their timing is the machine's.
 """
-import argparse
 import json
-import pathlib
 import random
 import re
 import signal
-import sys
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent / "measures"))
-from lib_deployment import Deployment, REGIONS, request  # noqa: E402
+from lib_deployment import Deployment, REGIONS, request
 
 CALLERS = 6
 PAUSE_SECONDS = 2.5  # longer than a heartbeat, shorter than the suspicion timeout
@@ -198,17 +191,15 @@
     lost = [b for b, outcomes in callers.attempts.items() if "ok" in outcomes and b not in counts]
     false_not_run = [b for b, outcomes in callers.attempts.items()
                      if b in counts and all(o in ("not_run", "not_sent") for o in outcomes)]
-    return {"doubled": doubled, "lost": lost, "false_not_run": false_not_run, "mixed": callers.mixed, "reverted": watch.reverted}
+    told = {"doubled": doubled, "lost": lost, "false_not_run": false_not_run}
+    found = {name: [f"{b} {callers.attempts.get(b)}" for b in bookings] for name, bookings in told.items()}
+    return {**found, "mixed": ["a stream"] * callers.mixed, "reverted": ["a process"] * watch.reverted}
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=30)
-    given = parser.parse_args()
-    print(f"# repeat with: tools/soak --seed {given.seed} --seconds {given.seconds:g}", flush=True)
+def run(seed, seconds):
+    """Runs the soak; gives the counts of calls and the violations by name."""
     models = ["--model", "notes/v1:262144:1", "--model", "notes/v2:262144:2"]
-    with Deployment(given.seed) as d:
+    with Deployment(seed) as d:
         d.platform(weights=["--chunk-bytes", "32768", *models])
         domains = list(REGIONS)
         for i in range(2):
@@ -220,27 +211,15 @@
         d.start()
         d.apply(resources("v1"))
         d.wait_ready(seconds=40)
-        callers, watch = Callers(d, given.seed), RevisionWatch(d)
+        callers, watch = Callers(d, seed), RevisionWatch(d)
         watch.start()
         for thread in callers.threads:
             thread.start()
-        inject(d, random.Random(given.seed), given.seconds)
+        inject(d, random.Random(seed), seconds)
         time.sleep(2)
         callers.stop.set()
         for thread in callers.threads:
             thread.join()
         watch.stop.set()
         watch.join()
-        found = check(d, callers, watch)
-        for (kind, outcome), count in sorted(callers.counts.items()):
-            print(f"soak.calls.{kind}.{outcome}={count} seed={given.seed}")
-        for name, value in found.items():
-            size = value if isinstance(value, int) else len(value)
-            print(f"soak.{name}={size} bound=0 verdict={'ok' if size == 0 else 'broken'} seed={given.seed}")
-            if size and not isinstance(value, int):
-                for booking in value[:5]:
-                    print(f"# {name}: {booking} {callers.attempts.get(booking)}")
-        sys.exit(0 if not any(found.values()) else 1)
-
-
-main()
+        return callers.counts, check(d, callers, watch)
