Test revoked keys, a start without the store, and the route's time in the direct layout

Cause: three rows of the table of rules in docs/promises.md had no test with the real entry: a key that operators took back, an entry that starts while the store is away (not ready, 503, then ready within 3 s), and a call whose caller would wait longer than its route's time (504 between 1.9 and 2.5 s).

--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -61,6 +61,7 @@
     process kv;
     process entry;
     std::uint64_t version = 1;
+    std::vector<std::string> account_keys{"k1"};
     int calls = 0;
 
     void setup() override
@@ -123,7 +124,7 @@
                                          route("book", "/book/", "non_idempotent", 1),
                                          route("draft", "/draft/", "streaming", 2)})},
                  {"services", json::array({json{{"name", "s"}, {"maxConnections", 50}}})},
-                 {"tenants", json::array({json{{"name", "guild"}, {"apiKeys", json::array({"k1"})}}})}});
+                 {"tenants", json::array({json{{"name", "guild"}, {"apiKeys", account_keys}}})}});
     }
 
     auto list(std::string const& id, played_endpoint const& endpoint, std::string const& state = "ready")
@@ -207,6 +208,41 @@
     CHECK(await_condition(seconds{4}, [&] { return ask("/read/a").status == 404; }));
 }
 
+// Guards against an account that is served on with a key that operators took back.
+TEST(direct_beliefs, a_revoked_key_is_refused)
+{
+    auto endpoint =
+        played_endpoint{[](auto const& request) { return played_answer{whole(request, "hello")}; }};
+    configure();
+    list("i-1", endpoint);
+    start_entry();
+    await_ready();
+    CHECK_EQUAL(200, ask("/read/a").status);
+    account_keys = {"k2"};
+    configure();
+    CHECK(await_condition(seconds{2}, [&] { return ask("/read/a").status == 401; }));
+    CHECK_EQUAL(200, ask("/read/a", "GET", "k2").status);
+}
+
+// Guards against an entry that counts as ready, or says that a route is unknown, because the store was away
+// when it started, and against one that does not find the store again.
+TEST(direct_beliefs, an_entry_that_starts_without_the_store_serves_once_the_store_is_back)
+{
+    auto endpoint =
+        played_endpoint{[](auto const& request) { return played_answer{whole(request, "hello")}; }};
+    configure();
+    list("i-1", endpoint);
+    call_json(store, "POST", "/v1/fault", json{{"unavailable", true}});
+    start_entry();
+    CHECK(await_condition(seconds{5}, [&] { return call(ready, {"GET", "/"}).status == 503; }));
+    CHECK_EQUAL(503, ask("/read/a").status);
+    std::this_thread::sleep_for(milliseconds{500});
+    CHECK(!is_ready());
+    call_json(store, "POST", "/v1/fault", json::object());
+    CHECK(await_condition(seconds{3}, [&] { return is_ready(); }));
+    CHECK_EQUAL(200, ask("/read/a").status);
+}
+
 // ---- one call
 
 TEST_GROUP_BASE(direct_calls, direct_base){
@@ -360,6 +396,24 @@
     CHECK(again > 0);
 }
 
+// Guards against a caller who is left without an answer when its own deadline is longer than the route's
+// time.
+TEST(direct_calls, a_call_ends_at_the_time_of_its_route)
+{
+    auto silent = played_endpoint{[](auto const&) { return played_answer{}; }};
+    begin({&silent});
+    auto request = http_request{"POST", "/book/x", {}, "{}"};
+    request.headers.set("Host", "a.example");
+    request.headers.set("X-Hibiscuswall-Attempt-Id", "call-long");
+    request.headers.set("X-Hibiscuswall-Deadline-Ms", "8000");
+    request.headers.set("X-Hibiscuswall-Key", "k1");
+    auto const begun = clock::now();
+    auto const answer = call(callers, std::move(request), milliseconds{8'000});
+    CHECK_EQUAL(504, answer.status); // it may have run
+    CHECK(clock::now() - begun >= milliseconds{1'900});
+    CHECK(clock::now() - begun <= milliseconds{2'500}); // the route's 2 s and half a second
+}
+
 // Guards against an endpoint that works past the caller's deadline because the call waited in the socket of
 // an entry that was paused, or that lacked the processor time to read it.
 TEST(direct_calls, time_that_a_call_waited_unread_is_not_handed_on)
