Let the soak see calls that reach an endpoint after it left

Cause: found on reading the change once more. after_leaving looked for runs of an endpoint later than 3 s after its leaving, but the endpoint took another id within 0.5 s and refused what was meant for the one before: the check could not fail. A fault thread that failed was not noticed either.

Change: endpoints of even number linger for 4.5 s while they leave; only faults of the store, of the entries and of the endpoint's own link excuse a late call, where any fault did before; a fault that cannot be injected or taken back ends the run.

No product code changes.

--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -145,6 +145,16 @@
         CHECK(await_condition(seconds{5}, [&] { return is_ready(); }));
     }
 
+    // An entry that serves with these endpoints, i-1 and on.
+    auto begin(std::vector<played_endpoint const*> const& endpoints)->void
+    {
+        configure();
+        for (auto i = std::size_t{0}; i < endpoints.size(); ++i)
+            list("i-" + std::to_string(i + 1), *endpoints[i]);
+        start_entry();
+        await_ready();
+    }
+
     auto ask(std::string const& path, std::string const& method = "GET", std::string const& key = "k1")
         ->http_response
     {
@@ -245,15 +255,7 @@
 
 // ---- one call
 
-TEST_GROUP_BASE(direct_calls, direct_base){
-    auto begin(std::vector<played_endpoint const*> const& endpoints)->void{configure();
-for (auto i = std::size_t{0}; i < endpoints.size(); ++i)
-    list("i-" + std::to_string(i + 1), *endpoints[i]);
-start_entry();
-await_ready();
-}
-}
-;
+TEST_GROUP_BASE(direct_calls, direct_base){};
 
 TEST(direct_calls, an_endpoint_gets_the_call_without_the_key_and_the_caller_its_answer_unchanged)
 {
@@ -433,15 +435,7 @@
 
 // ---- streams
 
-TEST_GROUP_BASE(direct_streams, direct_base){
-    auto begin(std::vector<played_endpoint const*> const& endpoints)->void{configure();
-for (auto i = std::size_t{0}; i < endpoints.size(); ++i)
-    list("i-" + std::to_string(i + 1), *endpoints[i]);
-start_entry();
-await_ready();
-}
-}
-;
+TEST_GROUP_BASE(direct_streams, direct_base){};
 
 // Guards against events that are missing, doubled or cut when an endpoint breaks off within one.
 TEST(direct_streams, a_stream_goes_on_elsewhere_after_its_last_whole_event)
--- a/tools/soaks/direct_faults.py
+++ b/tools/soaks/direct_faults.py
@@ -8,11 +8,13 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from direct_deployment import BACK_ENDS, STOP_MS
 from lib_deployment import request
 
 LEAVING_SECONDS = 3.0  # calls sent before an entry heard of an endpoint's leaving arrive within it
+LINGER_SECONDS = LEAVING_SECONDS + 1.5  # an endpoint that was replaced refuses what was meant for the one before it
 LOADING_SECONDS = 0.2  # until main runs, a signal ends any program
 LINK_FAULTS = [{"delay_ms": 60}, {"delay_ms": 250}, {"stall": True}, {"hold_answers": True}, {"refuse": True},
                {"drop_answers": 3}, {"cut_after": 300}, {"half_close": True}]
@@ -31,12 +33,13 @@
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             series = [self.draw() for _ in range(self.rng.choice((1, 1, 2, 3)))]
-            threads = [threading.Thread(target=each) for each in series]
-            for thread in threads:
-                thread.start()
-                time.sleep(self.rng.random() * 0.4)
-            for thread in threads:
-                thread.join()
+            with ThreadPoolExecutor() as pool:
+                injected = []
+                for each in series:
+                    injected.append(pool.submit(each))
+                    time.sleep(self.rng.random() * 0.4)
+            for each in injected:
+                each.result()  # a fault that could not be injected or taken back ends the run
             time.sleep(self.rng.random() * 0.5)
 
     def draw(self):
@@ -113,10 +116,10 @@
         request(self.d.links[index].address, "POST", "/v1/cut", {})
 
     def leave(self, index):
-        """The endpoint leaves, and another one takes its address."""
+        """The endpoint leaves, and another one takes its address: soon, or so late that calls after the bound show."""
         self.d.list_endpoint(index, "draining")
         left_at, old = time.monotonic(), self.d.back_ends[index].id
-        time.sleep(self.rng.random() * 0.5)
+        time.sleep(self.rng.random() * 0.5 + (LINGER_SECONDS if index % 2 == 0 else 0))
         with self.lock:
             self.left.append((old, index, left_at))
             self.replaced += 1
--- a/tools/soaks/direct_layout.py
+++ b/tools/soaks/direct_layout.py
@@ -103,7 +103,8 @@
         for name in violations(call, ran, faults):
             found[name].append({**call, "text": call["text"][:200], "runs": ran})
     for identity, index, left_at in faults.left:
-        undisturbed = not any(b <= left_at + LEAVING_SECONDS and left_at <= e for w, b, e in faults.windows)
+        excuses = ("store", f"link-{index}", *d.entries)  # links of other endpoints delay nothing here
+        undisturbed = not any(faults.overlaps(what, left_at, left_at + LEAVING_SECONDS) for what in excuses)
         late = [run for run in d.back_ends[index].runs if run.endpoint == identity and run.at > left_at + LEAVING_SECONDS]
         if undisturbed and late:
             found["after_leaving"].append((identity, left_at, late[0]))
