Stop sending to endpoints that say they leave, and honour the pause that they ask for

Cause: the entry took an endpoint's departure from the store only, whose word comes up to 400 ms later than the endpoint's own, and took no notice of Retry-After on a rejection.

A leaving endpoint gets no call for the rest of its run, also after its record was lost and written again; agents pass the announcement of their engine on in the load report. An endpoint that asked for a pause gets nothing until it ends; if all did, a call is rejected at once with the time at which the first accepts calls again. The check stands directly before the request is written, and a call that is withheld there costs no retry. An entry remembers removed endpoints for a minute, so that a record that returns for the same run continues where it ended.

The base class of the entry's tests moved to tests/support.

--- a/include/hibiscuswall/serving/endpoint_table.hpp
+++ b/include/hibiscuswall/serving/endpoint_table.hpp
@@ -29,6 +29,11 @@
     std::string region;     // region of its failure domain
     time_point cold_until;  // the endpoint counts as cold until then: the strict call limit applies
     std::optional<time_point> record_lost_at; // set if its record disappeared while the store was unavailable
+    bool listed = true;                       // false once its record is gone
+
+    // ---- announced by the endpoint itself or by its agent
+    bool leaving = false;     // it will stop; holds for the rest of its run
+    time_point backoff_until; // it asked this host to send no calls until then
 
     // ---- reported by its agent
     std::optional<load_report> news; // latest load report
@@ -57,6 +62,12 @@
     // reused by this entry at once.
     [[nodiscard]] auto free_slots(int limit) const -> int;
 
+    // Whether calls may be sent to it at all: it is listed, stays, and has not asked for a pause.
+    [[nodiscard]] auto accepts_calls(time_point now) const -> bool
+    {
+        return listed && !record.draining && !leaving && now >= backoff_until;
+    }
+
     // The engine's weights, from the latest load report if there is one, else from the record.
     [[nodiscard]] auto weights() const -> std::optional<loaded_weights> const&;
 };
@@ -69,6 +80,9 @@
     milliseconds lost_record_grace{1'500};
     // Not used by the table; placement and stall detection have their own lifetimes.
     milliseconds load_report_lifetime{1'500};
+    // How long an endpoint without a record is remembered. If its record returns for the same run, what it
+    // announced still applies.
+    milliseconds removed_endpoint_lifetime{60'000};
 };
 
 class endpoint_table {
@@ -101,6 +115,10 @@
     static auto record_success(tracked_endpoint& endpoint) -> void;
     static auto record_failure(tracked_endpoint& endpoint, time_point now) -> void;
 
+    // ---- announced in responses of the endpoint
+    static auto record_departure(tracked_endpoint& endpoint) -> void;
+    static auto record_backoff(tracked_endpoint& endpoint, milliseconds duration, time_point now) -> void;
+
     [[nodiscard]] auto endpoints_of_service(std::string_view service) const -> std::vector<endpoint_ptr>;
     [[nodiscard]] auto all() const -> std::map<std::string, endpoint_ptr, std::less<>> const&
     {
@@ -109,6 +127,13 @@
     [[nodiscard]] auto settings() const -> endpoint_table_settings const& { return settings_; }
 
 private:
+    struct removed_endpoint {
+        endpoint_ptr endpoint;
+        time_point removed_at;
+    };
+
+    auto erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found, time_point now) -> void;
+    auto restore_removed(std::string const& id) -> endpoint_ptr;
     auto update_granted_slots(tracked_endpoint& endpoint, load_report const& report) -> void;
 
     endpoint_table_settings settings_;
@@ -116,6 +141,7 @@
     std::string self_;
     random_source& random_;
     std::map<std::string, endpoint_ptr, std::less<>> endpoints_; // by id
+    std::map<std::string, removed_endpoint> removed_;            // by id
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -32,6 +32,7 @@
     double slowdown = 1;                   // relative to the declared speed of its service; above 1 is slower
     std::optional<loaded_weights> weights; // none if no weights are loaded
     bool paused = false;                   // the engine accepts no calls while it changes its weights
+    bool leaving = false;                  // the engine has announced that it will stop
     int subscriber_count = 0;              // number of entries subscribed to the agent
     std::vector<std::string> same_region_entries; // names of the subscribers in the engine's region, sorted
     std::uint64_t operator_revision = 0;          // newest operator change known to any subscriber
--- a/include/hibiscuswall/serving/placement.hpp
+++ b/include/hibiscuswall/serving/placement.hpp
@@ -46,6 +46,7 @@
     no_endpoint,        // no endpoint may serve the call
     all_endpoints_full, // endpoints may serve the call, but each is full, avoided after failures or at its
                         // cold limit
+    all_endpoints_back_off, // each endpoint that may serve the call has asked this host to send nothing
     shed,               // the service is overloaded and this call is among those shed
 };
 
@@ -58,6 +59,7 @@
 struct rejected {
     rejection_reason reason = rejection_reason::no_endpoint;
     milliseconds retry_after{0}; // earliest time at which a retry makes sense
+    time_point accepted_again;   // all_endpoints_back_off: when the first endpoint accepts calls again
     int usable = 0;              // endpoints that may serve the call, including full ones
     int min_load = 0;            // lowest load among the usable endpoints
 };
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -24,6 +24,9 @@
     std::string reason;
 };
 
+struct send_withheld { // the endpoint stopped accepting calls after it was chosen; nothing was sent
+};
+
 struct send_rejected { // the endpoint responded that it did not run the call
     int status = 503;
 };
@@ -46,7 +49,7 @@
 };
 
 using send_outcome =
-    std::variant<send_not_sent, send_rejected, send_failed, send_responded, send_streamed, send_interrupted>;
+    std::variant<send_not_sent, send_withheld, send_rejected, send_failed, send_responded, send_streamed, send_interrupted>;
 
 // ---- the call
 
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -41,6 +41,8 @@
     case rejection_reason::all_endpoints_full:
         return "no usable endpoint can take a call now: each is full, avoided after failures, or at its call "
                "limit";
+    case rejection_reason::all_endpoints_back_off:
+        return "each usable endpoint has asked this host to send nothing for a while";
     case rejection_reason::shed:
         return "shed: more calls arrive than the endpoints can serve";
     }
@@ -192,6 +194,7 @@
     auto const visitor = overloaded{[&](send_not_sent const& each) { reason = each.reason; },
                                     [&](send_failed const& each) { reason = each.reason; },
                                     [&](send_interrupted const& each) { reason = each.reason; },
+                                    [](send_withheld const&) {},
                                     [](send_rejected const&) {},
                                     [&](send_responded const&) { endpoint_table::record_success(endpoint); },
                                     [&](send_streamed const&) { endpoint_table::record_success(endpoint); }};
@@ -225,6 +228,7 @@
         co_return true;
     }
     if (std::holds_alternative<send_not_sent>(outcome)) co_return false;
+    if (std::holds_alternative<send_withheld>(outcome)) co_return false;
     if (auto const* rejection = std::get_if<send_rejected>(&outcome)) {
         metrics_registry_.count("sends_refused");
         if (call.send_count < settings_.max_rejected_sends) co_return false;
--- a/src/serving/call_shedding.cpp
+++ b/src/serving/call_shedding.cpp
@@ -99,7 +99,8 @@
         shedder_for(call.service->name).on_shed_call_sent(clock::now());
         co_return decision;
     }
-    auto rejection = rejected{rejection_reason::shed};
+    auto rejection = rejected{};
+    rejection.reason = rejection_reason::shed;
     rejection.retry_after = settings_.placement.max_retry_after;
     co_return rejection;
 }
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -7,6 +7,16 @@
 #include <algorithm>
 
 namespace hibiscuswall {
+namespace {
+
+// Whether waiting can help: some endpoint may serve the call, just not now.
+auto may_become_free(rejected const& rejection) -> bool
+{
+    return rejection.reason == rejection_reason::all_endpoints_full ||
+           rejection.reason == rejection_reason::all_endpoints_back_off;
+}
+
+} // namespace
 
 auto call_relay::reserve_slot(relayed_call& call, endpoint_ptr const& endpoint) -> void
 {
@@ -32,9 +42,13 @@
     // Calls that are already waiting have precedence.
     auto const overtakes = rejection == nullptr && wait_queue_.size() > 0;
     if (rejection == nullptr && !overtakes) co_return decision;
-    if (rejection != nullptr && rejection->reason != rejection_reason::all_endpoints_full) co_return decision;
+    if (rejection != nullptr && !may_become_free(*rejection)) co_return decision;
     auto const started_at = clock::now();
     set_queue_entry(call, started_at);
+    auto const opens_too_late = rejection != nullptr &&
+                                rejection->reason == rejection_reason::all_endpoints_back_off &&
+                                rejection->accepted_again >= call.queue_entry.until;
+    if (opens_too_late) co_return decision;
     if (call.queue_entry.until <= started_at || !wait_queue_.add(call.queue_entry)) co_return decision;
     co_await wait_for_slot(call);
     wait_queue_.remove(call.queue_entry);
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -2,6 +2,8 @@
 #include "hibiscuswall/serving/call_relay.hpp"
 #include "hibiscuswall/serving/endpoint_response_parser.hpp"
 
+#include "hibiscuswall/observe/log.hpp"
+
 #include <algorithm>
 
 namespace hibiscuswall {
@@ -55,6 +57,21 @@
     return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(timeout) - keep_alive_margin);
 }
 
+// Takes over what a response says about the endpoint itself, for the calls that follow.
+auto record_announcements(tracked_endpoint& endpoint, platform::response_fields const& response,
+                          time_point now) -> void
+{
+    if (response.endpoint_leaving && !endpoint.leaving) {
+        endpoint_table::record_departure(endpoint);
+        log_event(log_level::info, "endpoint_leaving",
+                  {{"endpoint", endpoint.record.id}, {"source", "response"}});
+    }
+    if (!response.backoff) return;
+    endpoint_table::record_backoff(endpoint, *response.backoff, now);
+    log_event(log_level::info, "endpoint_backs_off",
+              {{"endpoint", endpoint.record.id}, {"for_ms", std::to_string(response.backoff->count())}});
+}
+
 auto record_events(relayed_call& call, time_point now) -> void
 {
     if (call.first_event_at == time_point{})
@@ -81,6 +98,9 @@
     }
     if (connection == nullptr) co_return send_not_sent{"could not connect to the endpoint"};
     if (call.caller_disconnected) co_return send_not_sent{"caller disconnected"};
+    // Checked where the request is written: the endpoint may have announced its departure while this call
+    // was connecting. A connection that is dropped here carried nothing.
+    if (!call.endpoint->accepts_calls(clock::now())) co_return send_withheld{};
     call.connection = connection;
     call.closed_as_stalled = false;
     call.sent_at = clock::now();
@@ -143,6 +163,7 @@
         }
         if (parser.state() == response_state::invalid) co_return send_failed{"response is not valid HTTP"};
         auto const fields = platform::decode_response(parser.status(), parser.headers());
+        record_announcements(*call.endpoint, fields, clock::now());
         if (fields.call_id.empty() || fields.call_id == call.fields.call_id) break;
         // Skip a late response to another call that precedes the expected one.
         metrics_registry_.count("answers_of_other_calls");
@@ -175,7 +196,9 @@
     -> asio::awaitable<send_outcome>
 {
     auto const connection = call.connection;
-    if (!platform::decode_response(parser.status(), parser.headers()).signed_response)
+    auto const fields = platform::decode_response(parser.status(), parser.headers());
+    record_announcements(*call.endpoint, fields, clock::now());
+    if (!fields.signed_response)
         co_return send_failed{"response has no endpoint signature"};
     call.events.discard_partial_event();
     auto const fail_stream = [&](std::string reason) -> send_outcome {
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -36,6 +36,7 @@
 auto endpoint_table::add_or_update(endpoint_record const& record, time_point now) -> void
 {
     auto& tracked = endpoints_[record.id];
+    if (tracked == nullptr) tracked = restore_removed(record.id);
     // A restart under the same id is a new endpoint; nothing known about the previous run applies.
     if (tracked == nullptr || tracked->record.started_at_ms != record.started_at_ms ||
         !(tracked->record.where == record.where)) {
@@ -44,6 +45,7 @@
         if (region != regions_.end()) tracked->region = region->second;
     }
     tracked->record = record;
+    tracked->listed = true;
     tracked->record_lost_at.reset();
     if (record.cold_remaining.count() > 0) tracked->cold_until = now + record.cold_remaining;
 }
@@ -52,13 +54,25 @@
 {
     auto const found = endpoints_.find(id);
     if (found == endpoints_.end()) return;
-    if (!store_was_unavailable) {
-        endpoints_.erase(found);
-        return;
-    }
+    if (!store_was_unavailable) return erase(found, now);
     if (!found->second->record_lost_at) found->second->record_lost_at = now;
 }
 
+auto endpoint_table::erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found, time_point now)
+    -> void
+{
+    found->second->listed = false;
+    removed_.insert_or_assign(found->first, removed_endpoint{found->second, now});
+    endpoints_.erase(found);
+}
+
+// Returns null if the endpoint is not remembered.
+auto endpoint_table::restore_removed(std::string const& id) -> endpoint_ptr
+{
+    auto removed = removed_.extract(id);
+    return removed.empty() ? nullptr : removed.mapped().endpoint;
+}
+
 auto endpoint_table::replace(std::vector<endpoint_record> const& records, bool store_was_unavailable,
                              time_point now) -> void
 {
@@ -95,6 +109,7 @@
         // The report is about another run of the endpoint at the same address.
         if (endpoint->record.started_at_ms != report.started_at_ms) continue;
         update_granted_slots(*endpoint, report);
+        if (report.leaving) record_departure(*endpoint);
         if (report.paused && !(endpoint->news && endpoint->news->paused)) endpoint->paused_at = now;
         endpoint->news = report;
         endpoint->received_at = now;
@@ -106,9 +121,13 @@
 
 auto endpoint_table::remove_expired(time_point now) -> void
 {
-    std::erase_if(endpoints_, [&](auto const& each) {
-        auto const& lost_at = each.second->record_lost_at;
-        return lost_at && now - *lost_at > settings_.lost_record_grace;
+    for (auto next = endpoints_.begin(); next != endpoints_.end();) {
+        auto const current = next++;
+        auto const& lost_at = current->second->record_lost_at;
+        if (lost_at && now - *lost_at > settings_.lost_record_grace) erase(current, now);
+    }
+    std::erase_if(removed_, [&](auto const& each) {
+        return now - each.second.removed_at > settings_.removed_endpoint_lifetime;
     });
 }
 
@@ -157,6 +176,16 @@
     endpoint.avoid_until = now + std::min(min_avoid_duration * (1 << doublings), max_avoid_duration);
 }
 
+auto endpoint_table::record_departure(tracked_endpoint& endpoint) -> void
+{
+    endpoint.leaving = true;
+}
+
+auto endpoint_table::record_backoff(tracked_endpoint& endpoint, milliseconds duration, time_point now) -> void
+{
+    endpoint.backoff_until = std::max(endpoint.backoff_until, now + duration);
+}
+
 auto endpoint_table::endpoints_of_service(std::string_view service) const -> std::vector<endpoint_ptr>
 {
     auto found = std::vector<endpoint_ptr>{};
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -10,6 +10,7 @@
 constexpr auto subscription_tag = 1; // message type, the first element of the array
 constexpr auto load_report_tag = 2;
 constexpr auto holdings_tag = 3;
+constexpr auto leaving_field = std::size_t{12}; // absent in load reports of earlier builds
 
 auto to_bytes(json const& message) -> std::string
 {
@@ -53,6 +54,7 @@
     if (auto const peer = parse_address(message.at(10).get<std::string>()))
         report.most_current_peer = peer.value();
     report.shed_level = message.at(11).get<double>();
+    report.leaving = message.size() > leaving_field && message[leaving_field].get<bool>();
     return report;
 }
 
@@ -71,7 +73,8 @@
         {message.where.text(), message.started_at_ms, message.running, message.queued, message.slowdown,
          weights_json(message.weights), message.paused, message.subscriber_count, message.operator_revision,
          message.same_region_entries,
-         message.most_current_peer ? message.most_current_peer->text() : std::string{}, message.shed_level}));
+         message.most_current_peer ? message.most_current_peer->text() : std::string{}, message.shed_level,
+         message.leaving}));
 }
 
 auto encode_for_subscriber(std::string_view encoded_report, std::int64_t echoed_sent_at_us,
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -27,7 +27,8 @@
 auto may_serve(placement_call const& call, tracked_endpoint const& endpoint,
                failure_domain_set const& out_of_service) -> bool
 {
-    if (endpoint.record.draining || out_of_service.contains(endpoint.record.failure_domain)) return false;
+    if (!endpoint.listed || endpoint.record.draining || endpoint.leaving) return false;
+    if (out_of_service.contains(endpoint.record.failure_domain)) return false;
     if (!allows(call.route_regions, endpoint.region)) return false;
     if (!allows(call.account_regions, endpoint.region)) return false;
     if (call.tried_endpoints != nullptr && call.tried_endpoints->contains(endpoint.record.id)) return false;
@@ -109,12 +110,19 @@
     auto rejection = rejected{};
     auto free_slots = 0;
     auto slots = 0;
+    auto backing_off = 0;
+    rejection.accepted_again = time_point::max();
     rejection.min_load = std::numeric_limits<int>::max();
     for (auto const& endpoint : endpoints) {
         if (!may_serve(call, *endpoint, out_of_service)) continue;
         ++rejection.usable;
         rejection.min_load = std::min(rejection.min_load, endpoint->load());
         slots += endpoint->record.slots;
+        if (now < endpoint->backoff_until) {
+            ++backing_off;
+            rejection.accepted_again = std::min(rejection.accepted_again, endpoint->backoff_until);
+            continue;
+        }
         auto const free = endpoint->free_slots(load_limit(*endpoint, *call.definition, settings));
         if (free <= 0) continue;
         if (is_avoided(*endpoint, settings, now)) continue;
@@ -126,9 +134,13 @@
         best_cost = endpoint_cost;
     }
     if (best != nullptr) return placed{best, free_slots, slots};
+    rejection.retry_after = random_retry_after(settings, random);
     rejection.reason =
         rejection.usable == 0 ? rejection_reason::no_endpoint : rejection_reason::all_endpoints_full;
-    rejection.retry_after = random_retry_after(settings, random);
+    if (rejection.usable > 0 && backing_off == rejection.usable) {
+        rejection.reason = rejection_reason::all_endpoints_back_off;
+        rejection.retry_after += std::chrono::ceil<milliseconds>(rejection.accepted_again - now);
+    }
     return rejection;
 }
 
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
+#include "platform/call_headers.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -99,6 +100,7 @@
     options.purpose = "report";
     auto response = co_await context_.client.fetch(settings_.engine, platform::report_request(), options);
     if (!response || response.value().status != 200) co_return false;
+    engine_leaving_ = platform::is_leaving(response.value().headers);
     auto report = platform::decode_report(response.value().body);
     if (!report) {
         log_event(log_level::warning, "engine_report_refused", {{"reason", report.error().message}});
@@ -128,6 +130,7 @@
     report.slowdown = report_->slowdown;
     report.weights = report_->weights;
     report.paused = paused_;
+    report.leaving = engine_leaving_;
     loads_.send_report(std::move(report), clock::now());
 }
 
--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -1,176 +1,16 @@
 // hibiscus-entry on a platform with a shared store: the real program, a stand-in store, and scripted
 // endpoints. Each guarantee to callers is tested once.
-#include "hibiscuswall/core/base64.hpp"
-
-#include "support/await_condition.hpp"
-#include "support/http_caller.hpp"
-#include "support/port_pool.hpp"
-#include "support/process.hpp"
-#include "support/scripted_endpoint.hpp"
-
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <future>
 #include <thread>
 
-#include <CppUTest/TestHarness.h>
+#include "support/direct_entry_base.hpp"
 
 using namespace hibiscuswall;
 
-namespace {
-
-using nlohmann::json;
-
-auto signed_ok(scripted_request const& request, std::string const& body, std::string const& extra = "")
-    -> std::string
-{
-    return "HTTP/1.1 200 OK\r\nX-Hibiscuswall-Attempt-Id: " + request.header("x-hibiscuswall-attempt-id") +
-           "\r\nX-Hibiscuswall-Response-Signature: s1\r\n" + extra +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-auto events_from(scripted_request const& request, int first, int last) -> std::string
-{
-    auto body = std::string{};
-    for (auto i = first; i <= last; ++i)
-        body += "id: " + std::to_string(i) + "\ndata: t\n\n";
-    return "HTTP/1.1 200 OK\r\nX-Hibiscuswall-Attempt-Id: " + request.header("x-hibiscuswall-attempt-id") +
-           "\r\nX-Hibiscuswall-Response-Signature: s" + std::to_string(first) +
-           "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
-           [&] {
-               auto size = std::array<char, 16>{};
-               std::snprintf(size.data(), size.size(), "%zx", body.size());
-               return std::string{size.data()};
-           }() +
-           "\r\n" + body + "\r\n";
-}
-
-auto const end_of_chunks = std::string{"0\r\n\r\n"};
-
-} // namespace
-
-TEST_BASE(direct_base)
-{
-    std::filesystem::path folder =
-        std::filesystem::temp_directory_path() / ("hibiscuswall-direct-" + std::to_string(getpid()));
-    address store = port_pool::next();
-    address callers = port_pool::next();
-    address ready = port_pool::next();
-    address peers = port_pool::next();
-    process kv;
-    process entry;
-    std::uint64_t version = 1;
-    std::vector<std::string> account_keys{"k1"};
-    int calls = 0;
-
-    void setup() override
-    {
-        std::filesystem::create_directories(folder);
-        kv = process{"standin-kv", {"--listen", store.text()}, folder / "kv.log"};
-        CHECK(await_condition(seconds{5}, [&] { return call(store, {"GET", "/readyz"}).status == 200; }));
-    }
-
-    void teardown() override
-    {
-        entry.kill();
-        kv.kill();
-        std::filesystem::remove_all(folder);
-    }
-
-    auto start_entry()->void
-    {
-        auto const settings = json{{"name", "e1"},
-                                   {"region", "north"},
-                                   {"failure_domain", "north-a"},
-                                   {"store", store.text()},
-                                   {"peer_listen", peers.text()},
-                                   {"caller_listen", callers.text()},
-                                   {"ready_listen", ready.text()},
-                                   {"regions", {{"north-a", "north"}}},
-                                   {"stop_time_ms", 6000},
-                                   {"limits", {{"repeat_ratio", 0.2}, {"repeat_reserve", 320}}}};
-        std::ofstream{folder / "entry.json"} << settings.dump();
-        entry =
-            process{"hibiscus-entry", {"--settings", (folder / "entry.json").string()}, folder / "entry.log"};
-    }
-
-    auto put(std::string const& key, json const& value)->void
-    {
-        auto const row = json{{"key", key}, {"value", encode_base64(value.dump())}, {"lease", 0}};
-        auto body =
-            json{{"expected", json::array()}, {"puts", json::array({row})}, {"remove", json::array()}};
-        CHECK_EQUAL(200, call(store, {"POST", "/kv-txn", {}, body.dump()}).status);
-    }
-
-    auto remove(std::string const& key)->void
-    {
-        auto body =
-            json{{"expected", json::array()}, {"puts", json::array()}, {"remove", json::array({key})}};
-        CHECK_EQUAL(200, call(store, {"POST", "/kv-txn", {}, body.dump()}).status);
-    }
-
-    auto configure()->void
-    {
-        auto const route = [](char const* name, char const* prefix, char const* kind, int attempts) {
-            return json{
-                {"name", name},      {"host", "a.example"},    {"prefix", prefix},        {"kind", kind},
-                {"timeoutMs", 2000}, {"targetLatencyMs", 200}, {"maxAttempts", attempts}, {"service", "s"},
-                {"resumable", true}};
-        };
-        put("op/config",
-            json{{"version", version++},
-                 {"routes", json::array({route("read", "/read/", "idempotent", 2),
-                                         route("book", "/book/", "non_idempotent", 1),
-                                         route("draft", "/draft/", "streaming", 2)})},
-                 {"services", json::array({json{{"name", "s"}, {"maxConnections", 50}}})},
-                 {"tenants", json::array({json{{"name", "guild"}, {"apiKeys", account_keys}}})}});
-    }
-
-    auto put_endpoint(std::string const& id, scripted_endpoint const& endpoint,
-                      std::string const& state = "ready")
-        ->void
-    {
-        put("servers/" + id, json{{"service", "s"},
-                                  {"address", endpoint.where().text()},
-                                  {"zone", "north-a"},
-                                  {"version", "v1"},
-                                  {"slots", 4},
-                                  {"state", state},
-                                  {"sequence", 1}});
-    }
-
-    auto is_ready()->bool { return call(ready, {"GET", "/"}).status == 200; }
-    auto await_ready()->void
-    {
-        CHECK(await_condition(seconds{5}, [&] { return is_ready(); }));
-    }
-
-    // Starts an entry that serves with these endpoints, named i-1, i-2 and so on.
-    auto start_entry_with(std::vector<scripted_endpoint const*> const& endpoints)->void
-    {
-        configure();
-        for (auto i = std::size_t{0}; i < endpoints.size(); ++i)
-            put_endpoint("i-" + std::to_string(i + 1), *endpoints[i]);
-        start_entry();
-        await_ready();
-    }
-
-    auto ask(std::string const& path, std::string const& method = "GET", std::string const& key = "k1")
-        ->http_response
-    {
-        auto request = http_request{method, path, {}, method == "POST" ? "{}" : ""};
-        request.headers.set("Host", "a.example");
-        request.headers.set("X-Hibiscuswall-Attempt-Id", "call-" + std::to_string(++calls));
-        request.headers.set("X-Hibiscuswall-Deadline-Ms", "1500");
-        if (!key.empty()) request.headers.set("X-Hibiscuswall-Key", key);
-        return call(callers, std::move(request));
-    }
-};
-
 // ---- configuration and endpoint records
 
-TEST_GROUP_BASE(direct_entry_state, direct_base){};
+TEST_GROUP_BASE(direct_entry_state, direct_entry_base){};
 
 // Guards against status 404 or 401 from an entry that has no configuration yet.
 TEST(direct_entry_state, without_a_configuration_every_call_is_rejected_with_503)
@@ -256,7 +96,7 @@
 
 // ---- one call
 
-TEST_GROUP_BASE(direct_calls, direct_base){};
+TEST_GROUP_BASE(direct_calls, direct_entry_base){};
 
 TEST(direct_calls, an_endpoint_gets_the_call_without_the_key_and_the_caller_gets_its_response_unchanged)
 {
@@ -439,7 +279,7 @@
 
 // ---- streams
 
-TEST_GROUP_BASE(direct_streams, direct_base){};
+TEST_GROUP_BASE(direct_streams, direct_entry_base){};
 
 // Guards against missing, duplicate or truncated events when an endpoint disconnects within an event.
 TEST(direct_streams, a_stream_resumes_at_another_endpoint_after_its_last_complete_event)
@@ -478,7 +318,7 @@
 
 // ---- stopping
 
-TEST_GROUP_BASE(direct_stop, direct_base){};
+TEST_GROUP_BASE(direct_stop, direct_entry_base){};
 
 // Guards against a planned stop that aborts calls already received.
 TEST(direct_stop,
--- a/tests/unit/load_datagram_test.cpp
+++ b/tests/unit/load_datagram_test.cpp
@@ -23,6 +23,7 @@
     report.operator_revision = 99;
     report.most_current_peer = address{"10.0.0.9", 7700};
     report.shed_level = 0.5;
+    report.leaving = true;
     return report;
 }
 
@@ -38,6 +39,7 @@
     CHECK_EQUAL(12, report.running);
     CHECK_EQUAL(16, report.weights->end_layer);
     CHECK(report.paused);
+    CHECK(report.leaving);
     CHECK_EQUAL(2U, report.same_region_entries.size());
     CHECK_EQUAL(-5, report.echoed_sent_at_us);
     CHECK_EQUAL(40, report.subscription_age_us);
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -134,6 +134,81 @@
     STRCMP_EQUAL("none", send().c_str());
 }
 
+// An endpoint that is leaving says so in its responses, often before its record changes. Guards against calls
+// that still reach it, also after its record was lost in an outage of the store and written again.
+TEST(placement_allowed, an_endpoint_that_announced_its_departure_gets_no_calls_until_it_has_restarted)
+{
+    add(2);
+    endpoint_table::record_departure(state("i-1"));
+    for (auto i = 0; i < 4; ++i, now += seconds{1})
+        STRCMP_EQUAL("i-2", send().c_str());
+    // Its record is written again unchanged.
+    table.add_or_update(record(1, "north-a"), now);
+    CHECK(!state("i-1").accepts_calls(now));
+    // Its record is lost and comes back.
+    table.remove("i-1", false, now);
+    table.add_or_update(record(1, "north-a"), now + seconds{2});
+    CHECK(!state("i-1").accepts_calls(now));
+    // It starts again under the same id.
+    auto restarted = record(1, "north-a");
+    restarted.started_at_ms = 77;
+    table.add_or_update(restarted, now + seconds{3});
+    CHECK(state("i-1").accepts_calls(now));
+}
+
+TEST(placement_allowed, an_endpoint_whose_agent_reports_its_departure_gets_no_calls)
+{
+    add(2);
+    auto report = load_report{};
+    report.where = {"10.0.0.1", 80};
+    report.weights = loaded_weights{"m", 1, 0, 16};
+    report.subscriber_count = 1;
+    report.leaving = true;
+    table.on_load_report(report, microseconds{2'000}, now);
+    for (auto i = 0; i < 4; ++i, now += seconds{1})
+        STRCMP_EQUAL("i-2", send().c_str());
+}
+
+// Guards against a call that was assigned to an endpoint and is sent after the endpoint has left.
+TEST(placement_allowed, an_endpoint_without_a_record_accepts_no_calls)
+{
+    add(1);
+    auto const assigned = table.all().at("i-1");
+    CHECK(assigned->accepts_calls(now));
+    table.remove("i-1", false, now);
+    CHECK(!assigned->accepts_calls(now));
+}
+
+// An overloaded endpoint may reject a call and ask for a pause. Guards against calls sent to it during the
+// pause, and against callers that wait for nothing while all endpoints have asked for one.
+TEST(placement_allowed, endpoints_that_asked_for_a_pause_get_no_calls_until_it_ends)
+{
+    add(2);
+    endpoint_table::record_backoff(state("i-1"), milliseconds{1'500}, now);
+    STRCMP_EQUAL("i-2", send().c_str());
+    STRCMP_EQUAL("i-2", send().c_str());
+    endpoint_table::record_backoff(state("i-2"), milliseconds{700}, now);
+    auto const decision = place_call();
+    auto const& rejection = std::get<rejected>(decision);
+    CHECK(rejection.reason == rejection_reason::all_endpoints_back_off);
+    // Callers return once the first endpoint accepts calls again, spread over some time.
+    CHECK(rejection.retry_after >= milliseconds{700});
+    CHECK(rejection.retry_after <= milliseconds{700} + settings.max_retry_after);
+    now += milliseconds{700};
+    STRCMP_EQUAL("i-2", send().c_str());
+    now += milliseconds{800};
+    CHECK(state("i-1").accepts_calls(now));
+}
+
+// A shorter request must not end an earlier, longer one.
+TEST(placement_allowed, a_pause_is_never_shortened_by_a_later_request)
+{
+    add(1);
+    endpoint_table::record_backoff(state("i-1"), milliseconds{2'000}, now);
+    endpoint_table::record_backoff(state("i-1"), milliseconds{100}, now);
+    CHECK(!state("i-1").accepts_calls(now + milliseconds{1'900}));
+}
+
 // Guards against a call that starts on an outdated weights version or on an engine with some of the layers
 // only.
 TEST(placement_allowed, an_engine_without_complete_weights_of_an_allowed_version_gets_no_calls)
