Assign endpoints to entries, and share limits among those that send

Cause: at 53 entries nothing was served. Each limit was divided by the number of all entries or by 16, so that an entry's share of an engine's cold limit (14 a second x 1.5 + 5 = 26) was 0.49 call and permitted none, while the shares of the retry reserve together exceeded it. Each entry also subscribed to each agent: the load reports grew with the product of both.

Change: entries list themselves in the store under a lease (entry_registration) and know each other from it (entry_directory). sender_assignment decides from that list which entries send to an endpoint: all of them in fleets of up to 16 entries; in larger ones four of its region and one of each other region, more where a service has few endpoints. Entries subscribe to the agents of their endpoints only. Limits are divided by the senders of an endpoint, the retry reserve by all entries; both count entries that departed within a minute and, for cold endpoints and retries, one that may have just started.

Ruled out: a share carried over time (any second in which all entries spend what they saved breaks the limit), and assignment in rounds over a sorted list (each endpoint that restarts would move all others).

--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -51,6 +51,7 @@
     auto receive() -> asio::awaitable<void>;
     auto subscribe() -> asio::awaitable<void>;
     auto on_report_received(load_report const& report) -> void;
+    [[nodiscard]] auto has_agent(tracked_endpoint const& endpoint) const -> bool;
 
     asio::ip::udp::socket socket_;
     member const& self_;
--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -52,6 +52,9 @@
     // until the io_context stops.
     auto run_maintenance() -> asio::awaitable<void>;
 
+    // Sets the number of entries that share the retry budget of each service.
+    auto set_entry_count(int entries) -> void;
+
     // Highest shed level of any service: the fraction of its callers that is shed.
     [[nodiscard]] auto shed_level() const -> double;
 
--- a/include/hibiscuswall/serving/endpoint_table.hpp
+++ b/include/hibiscuswall/serving/endpoint_table.hpp
@@ -13,6 +13,7 @@
 #include "hibiscuswall/core/random_source.hpp"
 #include "hibiscuswall/serving/endpoint_record.hpp"
 #include "hibiscuswall/serving/load_datagram.hpp"
+#include "hibiscuswall/serving/sender_assignment.hpp"
 #include "hibiscuswall/serving/sliding_window_counter.hpp"
 
 #include <map>
@@ -41,6 +42,10 @@
     time_point paused_at;            // since when the engine has reported that it accepts no calls
     milliseconds round_trip{0};      // measured with the latest datagrams to its host and back
 
+    // ---- assigned to entries, see serving/sender_assignment
+    bool assigned = true;  // this entry may send to it
+    int sender_count = 16; // entries that may send to it and share its limits; assumed while they are unknown
+
     // ---- counted by this entry
     int in_flight = 0;                 // calls sent that have not ended
     int sent_since_report = 0;         // calls sent since the latest load report
@@ -83,6 +88,7 @@
     // How long an endpoint without a record is remembered. If its record returns for the same run, what it
     // announced still applies.
     milliseconds removed_endpoint_lifetime{60'000};
+    assignment_settings assignment;
 };
 
 class endpoint_table {
@@ -104,6 +110,13 @@
     auto on_load_report(load_report const& report, microseconds round_trip, time_point now) -> void;
     auto remove_expired(time_point now) -> void;
 
+    // Sets the entries among which endpoints are assigned. `departed` entries are no longer listed but may
+    // still send calls.
+    auto set_entries(std::vector<listed_entry> entries, int departed) -> void;
+
+    // Assigns endpoints to entries if the entries or the endpoints have changed. Called periodically.
+    auto update_assignment() -> void;
+
     // Assigns the engines of each service and region to the entries of that region, so that mostly one entry
     // sends to an engine and knows which prompts it still has to process. Every entry computes the same
     // assignment. Called periodically.
@@ -119,6 +132,7 @@
     static auto record_departure(tracked_endpoint& endpoint) -> void;
     static auto record_backoff(tracked_endpoint& endpoint, milliseconds duration, time_point now) -> void;
 
+    // The endpoints that this entry may send to.
     [[nodiscard]] auto endpoints_of_service(std::string_view service) const -> std::vector<endpoint_ptr>;
     [[nodiscard]] auto all() const -> std::map<std::string, endpoint_ptr, std::less<>> const&
     {
@@ -142,6 +156,9 @@
     random_source& random_;
     std::map<std::string, endpoint_ptr, std::less<>> endpoints_; // by id
     std::map<std::string, removed_endpoint> removed_;            // by id
+    std::vector<listed_entry> entries_;                          // empty while unknown
+    int departed_entries_ = 0;
+    bool assignment_outdated_ = false;
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/serving/placement.hpp
+++ b/include/hibiscuswall/serving/placement.hpp
@@ -21,7 +21,6 @@
     double plain_load_ratio = 2.0;    // calls per slot at a plain endpoint without a load report
     double cold_multiplier = 1.0;     // multiple of a service's cold rate that all entries together may send
     double cold_reserve = 0;          // calls per second allowed in addition
-    int max_entries = 16;             // entries assumed to share a limit while the real number is unknown
     milliseconds max_round_trip{250}; // hosts with a longer one get no calls: their link is saturated
     milliseconds load_report_lifetime{700}; // endpoints with an older load report cost more
     double first_event_cost_ms = 100;       // time to the first event that costs as much as a full endpoint
--- a/include/hibiscuswall/serving/window_retry_budget.hpp
+++ b/include/hibiscuswall/serving/window_retry_budget.hpp
@@ -18,7 +18,7 @@
     double ratio = 0.1;          // retries per call
     double reserve = 10;         // additional retries of all entries in any window
     milliseconds window{10'000}; // length of the window
-    int max_entries = 16;        // number of entries among which the reserve is divided
+    int entries = 16;            // entries among which the reserve is divided; assumed while they are unknown
 };
 
 class window_retry_budget {
@@ -28,6 +28,8 @@
     {
     }
 
+    auto set_entries(int entries) -> void { settings_.entries = entries; }
+
     auto on_call(time_point now) -> void { calls_.add(now); }
 
     // Returns false if the share is used up.
@@ -35,7 +37,7 @@
     {
         // The call counter covers up to one of ten buckets more than the window; the factor 0.9 compensates.
         auto const allowed =
-            0.9 * settings_.ratio * calls_.count(now) + settings_.reserve / settings_.max_entries;
+            0.9 * settings_.ratio * calls_.count(now) + settings_.reserve / settings_.entries;
         if (retries_.count(now) + 1 > allowed) return false;
         retries_.add(now);
         return true;
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -1,6 +1,8 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_base.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
+#include "hibiscuswall/fleet/entry_directory.hpp"
+#include "hibiscuswall/fleet/entry_registration.hpp"
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
@@ -18,6 +20,9 @@
 constexpr auto gather_endpoints = milliseconds{400}; // changes of endpoints within it cost one call
 constexpr auto balancer_time = milliseconds{3'000};  // until the balancer sends no new connections
 constexpr auto stop_margin = milliseconds{700};      // before SIGKILL
+constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
+constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
+constexpr auto directory_check_interval = milliseconds{1'000};
 
 struct direct_entry {
     daemon_base base;
@@ -32,8 +37,12 @@
     http_server ready_server;
     prefix_watcher operators;
     prefix_watcher listing;
+    entry_directory directory;
+    entry_registration registration;
+    prefix_watcher directory_watcher;
     operator_sync exchange;
     bool has_listing = false; // endpoints were read once
+    int shared_count = 0;     // entries among which endpoints and limits were last shared
     milliseconds stop_time;
 
     direct_entry(direct_entry_settings const& settings, std::uint64_t seed)
@@ -56,6 +65,10 @@
               store, base.context().random, std::string{platform::operator_prefix}, {}, operator_events()},
           listing{store, base.context().random, std::string{platform::endpoint_prefix}, listing_settings(),
                   listing_events()},
+          directory{{}, {settings.self.name, settings.self.region}},
+          registration{store, base.context().random, {settings.self.name, settings.self.region}},
+          directory_watcher{store, base.context().random, std::string{entry_prefix}, directory_settings(),
+                            directory_events()},
           exchange{base.context(), declared, operator_scope::all, [this] { return loads.newer_peer(); }},
           stop_time{settings.stop_time}
     {
@@ -91,6 +104,52 @@
         return settings;
     }
 
+    static auto directory_settings() -> prefix_watcher_settings
+    {
+        auto settings = prefix_watcher_settings{};
+        settings.wait = directory_wait;
+        settings.batch_delay = gather_entries;
+        return settings;
+    }
+
+    auto directory_events() -> prefix_watcher_callbacks
+    {
+        return {[this](store_range const& found, bool /*store_was_unavailable*/) {
+                    directory.replace(found.items, clock::now());
+                    share_among_entries(clock::now());
+                },
+                [this](store_change const& change, bool /*store_was_unavailable*/) {
+                    directory.apply(change, clock::now());
+                    share_among_entries(clock::now());
+                }};
+    }
+
+    // Passes on which entries share endpoints and limits with this one.
+    auto share_among_entries(time_point now) -> void
+    {
+        if (!directory.is_known()) return;
+        auto entries = directory.entries();
+        auto const departed = directory.departed(now);
+        auto const count = static_cast<int>(entries.size()) + departed;
+        if (count != shared_count)
+            log_event(log_level::info, "entries_changed",
+                      {{"entries", std::to_string(entries.size())}, {"departed", std::to_string(departed)}});
+        shared_count = count;
+        relay.set_entry_count(count + 1); // one that has just started may not be listed yet
+        endpoints.set_entries(std::move(entries), departed);
+    }
+
+    // Entries that departed long ago no longer count.
+    auto run_directory_checks() -> asio::awaitable<void>
+    {
+        while (true) {
+            co_await sleep_for(directory_check_interval);
+            auto const now = clock::now();
+            auto const count = static_cast<int>(directory.entries().size()) + directory.departed(now);
+            if (count != shared_count) share_among_entries(now);
+        }
+    }
+
     auto operator_events() -> prefix_watcher_callbacks
     {
         return {[this](store_range const& found, bool /*store_was_unavailable*/) {
@@ -174,6 +233,9 @@
         auto& io = base.context().io;
         asio::co_spawn(io, operators.run(), asio::detached);
         asio::co_spawn(io, listing.run(), asio::detached);
+        asio::co_spawn(io, registration.run(), asio::detached);
+        asio::co_spawn(io, directory_watcher.run(), asio::detached);
+        asio::co_spawn(io, run_directory_checks(), asio::detached);
         asio::co_spawn(io, exchange.run(), asio::detached);
         asio::co_spawn(io, relay.run_maintenance(), asio::detached);
         return success();
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -98,6 +98,15 @@
     most_current_peer_ = *report.most_current_peer;
 }
 
+// Only engines have agents. An engine without weights is known by its service.
+auto load_report_receiver::has_agent(tracked_endpoint const& endpoint) const -> bool
+{
+    if (endpoint.record.weights || endpoint.news) return true;
+    auto const map = declared_state_.map();
+    auto const* service = map == nullptr ? nullptr : map->service(endpoint.record.service);
+    return service != nullptr && service->engine.has_value();
+}
+
 auto load_report_receiver::subscribe() -> asio::awaitable<void>
 {
     while (true) {
@@ -106,12 +115,7 @@
             shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(clock::now())});
         auto agents = std::set<std::string>{};
         for (auto const& [id, endpoint] : endpoints_.all())
-            if (endpoint->record.weights || endpoint->news)
-                agents.insert(endpoint->record.where.ip);
-            else if (auto const map = declared_state_.map()) {
-                auto const* service = map->service(endpoint->record.service);
-                if (service != nullptr && service->engine) agents.insert(endpoint->record.where.ip);
-            }
+            if (endpoint->assigned && has_agent(*endpoint)) agents.insert(endpoint->record.where.ip);
         for (auto const& ip : agents)
             send_now(socket_, bytes, {asio::ip::make_address(ip), self_.control_address.port});
         co_await sleep_for(agents.empty() ? subscribe_interval / 4 : subscribe_interval);
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -309,6 +309,13 @@
     return budgets_.try_emplace(service, settings_.retry_limits).first->second;
 }
 
+auto call_relay::set_entry_count(int entries) -> void
+{
+    settings_.retry_limits.entries = entries;
+    for (auto& [service, budget] : budgets_)
+        budget.set_entries(entries);
+}
+
 // A stream is moved only if another engine has a free slot for it now.
 auto call_relay::may_move(relayed_call& call, time_point now) -> bool
 {
@@ -333,6 +340,7 @@
                 call->connection->close();
             }
         }
+        endpoints_.update_assignment();
         dispatch_waiting();
         update_shedders(now);
         endpoints_.remove_expired(now);
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -1,9 +1,12 @@
 #include "hibiscuswall/serving/endpoint_table.hpp"
 
+#include <boost/asio/ip/address_v4.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace hibiscuswall {
 namespace {
@@ -14,6 +17,14 @@
 constexpr auto min_avoid_duration = milliseconds{500};
 constexpr auto max_avoid_duration = milliseconds{4'000};
 
+// Neighbouring hosts get neighbouring positions, as do endpoints on neighbouring ports of one host.
+auto position_of(address const& where) -> std::uint32_t
+{
+    auto code = boost::system::error_code{};
+    auto const ip = boost::asio::ip::make_address_v4(where.ip, code);
+    return (code ? 0 : ip.to_uint()) + where.port;
+}
+
 } // namespace
 
 auto tracked_endpoint::load() const -> int
@@ -41,6 +52,9 @@
     if (tracked == nullptr || tracked->record.started_at_ms != record.started_at_ms ||
         !(tracked->record.where == record.where)) {
         tracked = std::make_shared<tracked_endpoint>();
+        // Until the assignment is updated, a new endpoint may be anyone's.
+        tracked->assigned = entries_.empty();
+        assignment_outdated_ = true;
         auto const region = regions_.find(record.failure_domain);
         if (region != regions_.end()) tracked->region = region->second;
     }
@@ -61,6 +75,7 @@
 auto endpoint_table::erase(std::map<std::string, endpoint_ptr, std::less<>>::iterator found, time_point now)
     -> void
 {
+    assignment_outdated_ = true;
     found->second->listed = false;
     removed_.insert_or_assign(found->first, removed_endpoint{found->second, now});
     endpoints_.erase(found);
@@ -70,6 +85,7 @@
 auto endpoint_table::restore_removed(std::string const& id) -> endpoint_ptr
 {
     auto removed = removed_.extract(id);
+    assignment_outdated_ = true;
     return removed.empty() ? nullptr : removed.mapped().endpoint;
 }
 
@@ -131,6 +147,32 @@
     });
 }
 
+auto endpoint_table::set_entries(std::vector<listed_entry> entries, int departed) -> void
+{
+    entries_ = std::move(entries);
+    departed_entries_ = departed;
+    assignment_outdated_ = true;
+}
+
+auto endpoint_table::update_assignment() -> void
+{
+    if (entries_.empty() || !std::exchange(assignment_outdated_, false)) return;
+    auto services = std::map<std::string_view, std::vector<tracked_endpoint*>>{};
+    for (auto const& [id, endpoint] : endpoints_)
+        services[endpoint->record.service].push_back(endpoint.get());
+    for (auto const& [service, endpoints] : services) {
+        auto assignable = std::vector<assignable_endpoint>{};
+        for (auto const* endpoint : endpoints)
+            assignable.push_back({endpoint->region, position_of(endpoint->record.where)});
+        auto const senders = hibiscuswall::assign_senders(entries_, assignable, settings_.assignment);
+        for (auto i = std::size_t{0}; i < endpoints.size(); ++i) {
+            auto const& names = senders[i];
+            endpoints[i]->assigned = std::find(names.begin(), names.end(), self_) != names.end();
+            endpoints[i]->sender_count = static_cast<int>(names.size()) + departed_entries_;
+        }
+    }
+}
+
 auto endpoint_table::assign_preferred_entries() -> void
 {
     // Sorted by service, region and address, so that every entry gets the same order.
@@ -190,7 +232,7 @@
 {
     auto found = std::vector<endpoint_ptr>{};
     for (auto const& [id, endpoint] : endpoints_)
-        if (endpoint->record.service == service) found.push_back(endpoint);
+        if (endpoint->assigned && endpoint->record.service == service) found.push_back(endpoint);
     return found;
 }
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -8,8 +8,6 @@
 
 // Consecutive failures from which an endpoint gets only one call at a time.
 constexpr auto failures_to_probe = 3;
-// A warm endpoint's limit is divided among at least this many entries.
-constexpr auto min_sharing_entries = 3;
 
 auto allows(std::span<std::string const> regions, std::string const& region) -> bool
 {
@@ -95,9 +93,10 @@
 {
     if (service.max_cold_rate <= 0) return true;
     auto const total_limit = service.max_cold_rate * settings.cold_multiplier + settings.cold_reserve;
-    auto const known = endpoint.news ? endpoint.news->subscriber_count : settings.max_entries;
-    auto const cold = endpoint.cold_until > now;
-    auto const sharing_entries = cold ? settings.max_entries : std::max(known, min_sharing_entries);
+    auto const seen = endpoint.news ? endpoint.news->subscriber_count : 0;
+    auto const known = std::max(endpoint.sender_count, seen);
+    // An entry that has just started may not be known yet.
+    auto const sharing_entries = endpoint.cold_until > now ? known + 1 : known;
     return endpoint.recent_sends.count(now) + 1 <= total_limit / sharing_entries;
 }
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -440,7 +440,8 @@
 TEST(placement_limits, all_entries_together_stay_within_the_cold_limit)
 {
     auto sum = 0;
-    for (auto entry = 0; entry < settings.max_entries; ++entry) {
+    auto const entries = tracked_endpoint{}.sender_count; // assumed while they are unknown
+    for (auto entry = 0; entry < entries; ++entry) {
         auto each = endpoint_table{{}, {}, "e" + std::to_string(entry), random};
         auto cold = record(1, "north-a");
         cold.cold_remaining = seconds{3};
@@ -456,6 +457,43 @@
     CHECK(sum >= 30);
 }
 
+// Guards against a share of the cold limit that is below one call for every entry, so that none may ever send,
+// and against shares that together exceed the limit.
+TEST(placement_limits, in_a_large_fleet_a_cold_endpoint_still_gets_calls_within_its_limit)
+{
+    service.max_cold_rate = 14; // 26 calls a second in total
+    for (auto const per_region : {11, 140}) {
+        auto entries = std::vector<listed_entry>{};
+        for (auto i = 0; i < per_region; ++i)
+            for (auto const* region : {"north", "south", "east"})
+                entries.push_back({std::string{region} + std::to_string(i), region});
+        auto sum = 0;
+        auto senders = 0;
+        for (auto const& entry : entries) {
+            auto each = endpoint_table{{}, {{"north-a", "north"}, {"south-a", "south"}}, entry.name, random};
+            each.set_entries(entries, 0);
+            for (auto number = 1; number <= 40; ++number) {
+                auto cold = record(number, number % 2 == 0 ? "north-a" : "south-a");
+                cold.cold_remaining = seconds{3};
+                each.add_or_update(cold, now);
+            }
+            each.update_assignment();
+            auto& endpoint = *each.all().at("i-7");
+            if (!endpoint.assigned) continue;
+            ++senders;
+            for (auto i = 0; i < 100; ++i) {
+                auto const at = now + milliseconds{10 * i};
+                if (!within_cold_limit(endpoint, service, settings, at)) continue;
+                endpoint.recent_sends.add(at);
+                ++sum;
+            }
+        }
+        CHECK(sum <= 26);
+        CHECK(sum >= 13);
+        CHECK(senders <= 24);
+    }
+}
+
 TEST(placement_limits, all_entries_together_stay_within_the_retry_budget)
 {
     auto limits = window_retry_budget_settings{};
@@ -463,7 +501,7 @@
     limits.reserve = 106;
     auto retries = 0;
     auto calls = 0;
-    for (auto entry = 0; entry < limits.max_entries; ++entry) {
+    for (auto entry = 0; entry < limits.entries; ++entry) {
         auto budget = window_retry_budget{limits};
         for (auto i = 0; i < 1'000; ++i) {
             auto const at = now + milliseconds{10 * i};
