--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -124,6 +124,47 @@
     CHECK_FALSE(platform::decode_endpoint("servers/i-1", "\xff\xfe").has_value());
 }
 
+// Another writer may leave anything among the records. Guards against numbers that are cut to fit, times that
+// overflow, and a process that ends because of one record.
+TEST(endpoint_records, a_record_with_a_number_out_of_range_names_no_endpoint)
+{
+    auto const refuses = [](char const* field, char const* value) {
+        auto record = json::parse(record_text);
+        record[field] = "@";
+        auto text = record.dump();
+        text.replace(text.find("\"@\""), 3, value);
+        return !platform::decode_endpoint("servers/i-1", text).has_value();
+    };
+    for (auto const* value : {"0", "-1", "4294967297", "1e12", "1e300", "18446744073709551616", "1.5", "1e999",
+                              "true", "\"16\"", "null"})
+        CHECK(refuses("slots", value));
+    for (auto const* value : {"-1", "1e300", "1e12", "\"5\""})
+        CHECK(refuses("coldRemainingMs", value));
+    for (auto const* value : {"\"1700000000000\"", "-5", "1e300", "1.25", "18446744073709551615"})
+        CHECK(refuses("born", value));
+    for (auto const* value : {"\"10.0.0.1:0\"", "\"10.0.0.1:70000\"", "\"10.0.0.1:-1\"", "\"host:80\"",
+                              "\"10.0.0.1\"", "\"10.0.0.1:99999999999999999999\""})
+        CHECK(refuses("address", value));
+    CHECK_FALSE(refuses("slots", "16.0"));
+    CHECK_FALSE(refuses("coldRemainingMs", "250.75"));
+}
+
+TEST(endpoint_records, a_deeply_nested_or_huge_record_is_rejected_with_a_short_reason)
+{
+    auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+    auto const deep = "{\"service\":" + nested + "}";
+    auto const refused = platform::decode_endpoint("servers/i-1", deep);
+    CHECK_FALSE(refused.has_value());
+    CHECK(refused.error().message.size() < 300);
+    CHECK_FALSE(platform::decode_configuration(deep).has_value());
+    CHECK_FALSE(platform::services_only(deep).has_value());
+    CHECK_FALSE(platform::decode_report(deep).has_value());
+    CHECK_FALSE(platform::decode_manifest(deep).has_value());
+    CHECK_FALSE(platform::decode_weights_version(deep).has_value());
+    auto const huge = "{\"service\":\"" + std::string(1'000'000, 'x') + "\xff\"}";
+    CHECK(platform::decode_endpoint("servers/i-1", huge).error().message.size() < 300);
+}
+
 TEST(endpoint_records, changed_bytes_do_not_crash_the_decoders)
 {
     auto random = random_source{5};
