Restart background loops that an exception leaves, and release what a failed call held

A handler that ended by an exception left its call in the relay's sets, which maintenance then read after it was destroyed.

Change: observe/background starts loops and tasks. A call leaves the relay's sets, its slot and its callback however it ends. Endpoints are assigned as soon as a complete listing is read: five integration tests met an entry that was ready 50 ms before it had endpoints.

--- a/include/hibiscuswall/fleet/entry_registration.hpp
+++ b/include/hibiscuswall/fleet/entry_registration.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Keeps this entry listed in the platform's store while it runs: a record under a lease, renewed periodically.
+// Keeps this entry listed in the platform's store while it runs: a record under a lease, renewed
+// periodically.
 //
 //   auto registration = entry_registration{store, random, self, settings};
 //   asio::co_spawn(io, registration.run(), asio::detached);
--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -62,6 +62,8 @@
     [[nodiscard]] auto waiting() const -> std::size_t { return wait_queue_.size(); }
 
 private:
+    struct registered_call;
+
     // ---- call_relay.cpp
     auto look_up(relayed_call& call) -> result<void>;
     auto choose_service(relayed_call& call) -> result<void>;
--- a/include/hibiscuswall/serving/placement.hpp
+++ b/include/hibiscuswall/serving/placement.hpp
@@ -46,7 +46,7 @@
     all_endpoints_full, // endpoints may serve the call, but each is full, avoided after failures or at its
                         // cold limit
     all_endpoints_back_off, // each endpoint that may serve the call has asked this host to send nothing
-    shed,               // the service is overloaded and this call is among those shed
+    shed,                   // the service is overloaded and this call is among those shed
 };
 
 struct placed {
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -48,8 +48,8 @@
     std::string reason;
 };
 
-using send_outcome =
-    std::variant<send_not_sent, send_withheld, send_rejected, send_failed, send_responded, send_streamed, send_interrupted>;
+using send_outcome = std::variant<send_not_sent, send_withheld, send_rejected, send_failed, send_responded,
+                                  send_streamed, send_interrupted>;
 
 // ---- the call
 
--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -112,7 +112,7 @@
     std::map<std::uint64_t, std::shared_ptr<transfer>> transfers_; // running transfers by version
     std::uint64_t engine_started_at_ms_ = 0; // start time of the engine that staged_version_ applies to
     std::size_t holdings_round_ = 0;         // selects the next agents that receive holdings
-    bool engine_leaving_ = false; // the engine's latest response announced that it will stop
+    bool engine_leaving_ = false;            // the engine's latest response announced that it will stop
     bool paused_ = false; // the engine is being drained; entries see it as `paused` in the load report
     std::optional<time_point> drained_at_; // start of the latest drain for a switch
 };
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -3,11 +3,9 @@
 #include "hibiscuswall/config/push_tree.hpp"
 #include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -31,10 +29,19 @@
 
 auto config_service::start() -> void
 {
-    asio::co_spawn(context_.io, start_loop(), asio::detached);
-    asio::co_spawn(context_.io, watch_loop(), asio::detached);
-    asio::co_spawn(context_.io, tick_loop(), asio::detached);
-    if (context_.self.role == member_role::entry) asio::co_spawn(context_.io, collect_loop(), asio::detached);
+    hibiscuswall::start_loop(
+        context_.io.get_executor(), "config_start", [this] { return start_loop(); },
+        &context_.metrics_registry);
+    hibiscuswall::start_loop(
+        context_.io.get_executor(), "config_watch", [this] { return watch_loop(); },
+        &context_.metrics_registry);
+    hibiscuswall::start_loop(
+        context_.io.get_executor(), "config_ticks", [this] { return tick_loop(); },
+        &context_.metrics_registry);
+    if (context_.self.role == member_role::entry)
+        hibiscuswall::start_loop(
+            context_.io.get_executor(), "config_collection", [this] { return collect_loop(); },
+            &context_.metrics_registry);
 }
 
 auto config_service::subscribe(std::function<void(config_view const&)> changed) -> void
@@ -194,7 +201,8 @@
             log_event(log_level::warning, "pause_detected", {});
             context_.events.record("pause_detected", {});
             context_.metrics_registry.count("pauses_total");
-            asio::co_spawn(context_.io, confirm_after_pause(), asio::detached);
+            start_task(context_.io.get_executor(), "confirm_after_pause", confirm_after_pause(),
+                       &context_.metrics_registry);
         }
         auto const age = std::chrono::duration<double>(state_.confirmed_age(now)).count();
         if (state_.document()) context_.metrics_registry.set("config_confirmed_age_seconds", {}, age);
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -3,11 +3,10 @@
 #include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/daemon/daemon_options.hpp"
 #include "hibiscuswall/daemon/held_signals.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -145,8 +144,10 @@
 {
     auto stops = asio::signal_set{state_->io, SIGTERM, SIGINT};
     auto reloads = asio::signal_set{state_->io, SIGHUP};
-    asio::co_spawn(state_->io, state_->stop_on(stops), asio::detached);
-    asio::co_spawn(state_->io, state_->reload_on(reloads), asio::detached);
+    start_task(state_->io.get_executor(), "stop", state_->stop_on(stops), &state_->metrics_registry);
+    start_loop(
+        state_->io.get_executor(), "reload", [&] { return state_->reload_on(reloads); },
+        &state_->metrics_registry);
     release_signals();
     auto const& self = state_->context.self;
     log_event(log_level::info, "started", {{"region", self.region}, {"failure_domain", self.failure_domain}});
--- a/src/daemon/direct_agent.cpp
+++ b/src/daemon/direct_agent.cpp
@@ -4,13 +4,11 @@
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/weights/engine_weights_controller.hpp"
 #include "platform/operator_documents.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace hibiscuswall {
 namespace {
 
@@ -113,9 +111,13 @@
     {
         if (auto bound = base.listen_control(settings.peer_listen, {}); !bound) return bound.error();
         if (auto bound = loads.start(); !bound) return bound.error();
-        asio::co_spawn(base.context().io, declarations.run(), asio::detached);
-        asio::co_spawn(base.context().io, find_services(), asio::detached);
-        asio::co_spawn(base.context().io, exchange.run(), asio::detached);
+        auto const start = [&](char const* name, std::function<asio::awaitable<void>()> loop) {
+            start_loop(base.context().io.get_executor(), name, std::move(loop),
+                       &base.context().metrics_registry);
+        };
+        start("declarations", [this] { return declarations.run(); });
+        start("services", [this] { return find_services(); });
+        start("operator_sync", [this] { return exchange.run(); });
         keeper.start();
         return success();
     }
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -6,20 +6,18 @@
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/endpoint_records.hpp"
 #include "platform/operator_documents.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace hibiscuswall {
 namespace {
 
 constexpr auto program = std::string_view{"hibiscus-entry"};
-constexpr auto gather_endpoints = milliseconds{400}; // changes of endpoints within it cost one call
-constexpr auto balancer_time = milliseconds{3'000};  // until the balancer sends no new connections
-constexpr auto stop_margin = milliseconds{700};      // before SIGKILL
+constexpr auto gather_endpoints = milliseconds{400};  // changes of endpoints within it cost one call
+constexpr auto balancer_time = milliseconds{3'000};   // until the balancer sends no new connections
+constexpr auto stop_margin = milliseconds{700};       // before SIGKILL
 constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
@@ -137,6 +135,7 @@
         shared_count = count;
         relay.set_entry_count(count + 1); // one that has just started may not be listed yet
         endpoints.set_entries(std::move(entries), departed);
+        endpoints.update_assignment();
     }
 
     // Entries that departed long ago no longer count.
@@ -178,6 +177,7 @@
             log_event(log_level::warning, "endpoint_refused", {{"reason", record.error().message}});
         }
         endpoints.replace(records, store_was_unavailable, clock::now());
+        endpoints.update_assignment();
         has_listing = true;
         log_event(log_level::info, "endpoints_listed",
                   {{"endpoints", std::to_string(records.size())},
@@ -231,13 +231,16 @@
         if (auto bound = ready_server.listen(settings.ready_listen); !bound) return bound.error();
         if (auto bound = caller_server.listen(settings.caller_listen); !bound) return bound.error();
         auto& io = base.context().io;
-        asio::co_spawn(io, operators.run(), asio::detached);
-        asio::co_spawn(io, listing.run(), asio::detached);
-        asio::co_spawn(io, registration.run(), asio::detached);
-        asio::co_spawn(io, directory_watcher.run(), asio::detached);
-        asio::co_spawn(io, run_directory_checks(), asio::detached);
-        asio::co_spawn(io, exchange.run(), asio::detached);
-        asio::co_spawn(io, relay.run_maintenance(), asio::detached);
+        auto const start = [&](char const* name, std::function<asio::awaitable<void>()> loop) {
+            start_loop(io.get_executor(), name, std::move(loop), &base.context().metrics_registry);
+        };
+        start("operators", [this] { return operators.run(); });
+        start("endpoints", [this] { return listing.run(); });
+        start("registration", [this] { return registration.run(); });
+        start("entries", [this] { return directory_watcher.run(); });
+        start("entry_checks", [this] { return run_directory_checks(); });
+        start("operator_sync", [this] { return exchange.run(); });
+        start("relay", [this] { return relay.run_maintenance(); });
         return success();
     }
 };
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -1,11 +1,10 @@
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -60,8 +59,8 @@
 auto load_report_receiver::start() -> result<void>
 {
     if (auto opened = open_socket(socket_, self_.control_address); !opened) return opened.error();
-    asio::co_spawn(socket_.get_executor(), receive(), asio::detached);
-    asio::co_spawn(socket_.get_executor(), subscribe(), asio::detached);
+    start_loop(socket_.get_executor(), "datagrams", [this] { return receive(); });
+    start_loop(socket_.get_executor(), "subscriptions", [this] { return subscribe(); });
     return success();
 }
 
@@ -133,7 +132,7 @@
 auto load_report_sender::start() -> result<void>
 {
     if (auto opened = open_socket(socket_, self_.control_address); !opened) return opened.error();
-    asio::co_spawn(socket_.get_executor(), receive(), asio::detached);
+    start_loop(socket_.get_executor(), "datagrams", [this] { return receive(); });
     return success();
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -5,6 +5,7 @@
 #include "unread_time.hpp"
 
 #include "hibiscuswall/http/error_body.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -343,8 +344,7 @@
         return fail(result_code::settings_invalid,
                     "cannot listen on " + where.text() + ": " + code.message());
     // The loop keeps the state alive from now on: the server may be destroyed before the loop first runs.
-    auto loop = [kept = state_]() -> asio::awaitable<void> { return kept->accept_loop(); };
-    asio::co_spawn(state_->io, std::move(loop), asio::detached);
+    start_loop(state_->io.get_executor(), "accept", [kept = state_] { return kept->accept_loop(); });
     return success();
 }
 
--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -3,11 +3,10 @@
 #include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/membership/host_list_schedule.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -64,8 +63,11 @@
 
 auto gossip_service::start() -> void
 {
-    asio::co_spawn(context_.io, host_list_loop(), asio::detached);
-    asio::co_spawn(context_.io, exchange_loop(), asio::detached);
+    start_loop(
+        context_.io.get_executor(), "host_list", [this] { return host_list_loop(); },
+        &context_.metrics_registry);
+    start_loop(
+        context_.io.get_executor(), "gossip", [this] { return exchange_loop(); }, &context_.metrics_registry);
 }
 
 auto gossip_service::host_list_loop() -> asio::awaitable<void>
@@ -139,13 +141,15 @@
         auto const alive = table_.counts({}).alive;
         context_.metrics_registry.set("members_alive", {}, static_cast<double>(alive));
         for (auto const& peer : choose_peers())
-            asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
+            start_task(context_.io.get_executor(), "gossip_exchange", exchange_with(peer),
+                       &context_.metrics_registry);
         // Early rounds contact random peers only; members that missed a probe are probed again at the
         // interval of the regular rounds.
         while (co_await wait_for_round())
             for (auto i = 0; i < peers_per_early_round; ++i)
                 for (auto const& peer : random_live_peer())
-                    asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
+                    start_task(context_.io.get_executor(), "gossip_exchange", exchange_with(peer),
+                               &context_.metrics_registry);
     }
 }
 
@@ -289,7 +293,8 @@
     auto const limit = static_cast<std::size_t>(settings_.leaving_peers);
     if (peers.size() > limit) peers.resize(limit);
     for (auto const& peer : peers)
-        asio::co_spawn(context_.io, exchange_with(peer), asio::detached);
+        start_task(context_.io.get_executor(), "gossip_exchange", exchange_with(peer),
+                   &context_.metrics_registry);
     co_await sleep_for(settings_.peer_timeout);
 }
 
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -62,6 +62,29 @@
 {
 }
 
+// Ends with the call, also if an exception ends it: nothing may refer to it afterwards.
+struct call_relay::registered_call {
+    call_relay& relay;
+    relayed_call& call;
+
+    registered_call(call_relay& owner, relayed_call& each) : relay{owner}, call{each}
+    {
+        relay.active_.insert(&call);
+    }
+    registered_call(registered_call const&) = delete;
+    auto operator=(registered_call const&) -> registered_call& = delete;
+    ~registered_call()
+    {
+        call.out.on_disconnect([] {});
+        relay.active_.erase(&call);
+        relay.waiting_calls_.erase(&call.queue_entry);
+        relay.wait_queue_.remove(call.queue_entry);
+        if (call.endpoint == nullptr) return;
+        call.on_prompt_processed();
+        endpoint_table::record_end(*std::exchange(call.endpoint, nullptr));
+    }
+};
+
 auto call_relay::serve(http_request const& request, http_responder& out) -> asio::awaitable<void>
 {
     auto call = relayed_call{request, out};
@@ -76,15 +99,13 @@
     call.deadline = std::min(call.deadline, call.arrived_at + call.route->timeout);
     retry_budget_for(call.service->name).on_call(call.read_at);
     set_shed_decision(call);
-    active_.insert(&call);
+    auto const registration = registered_call{*this, call};
     out.on_disconnect([&call] {
         call.caller_disconnected = true;
         if (call.connection != nullptr) call.connection->close();
         if (call.wait_timer != nullptr) call.wait_timer->cancel();
     });
     co_await run(call);
-    out.on_disconnect([] {});
-    active_.erase(&call);
 }
 
 // Finds route, account and service in the newest configuration. A call that waits is looked up again, so that
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -198,8 +198,7 @@
     auto const connection = call.connection;
     auto const fields = platform::decode_response(parser.status(), parser.headers());
     record_announcements(*call.endpoint, fields, clock::now());
-    if (!fields.signed_response)
-        co_return send_failed{"response has no endpoint signature"};
+    if (!fields.signed_response) co_return send_failed{"response has no endpoint signature"};
     call.events.discard_partial_event();
     auto const fail_stream = [&](std::string reason) -> send_outcome {
         if (call.response_started) return send_interrupted{std::move(reason)};
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -218,10 +218,7 @@
     endpoint.avoid_until = now + std::min(min_avoid_duration * (1 << doublings), max_avoid_duration);
 }
 
-auto endpoint_table::record_departure(tracked_endpoint& endpoint) -> void
-{
-    endpoint.leaving = true;
-}
+auto endpoint_table::record_departure(tracked_endpoint& endpoint) -> void { endpoint.leaving = true; }
 
 auto endpoint_table::record_backoff(tracked_endpoint& endpoint, milliseconds duration, time_point now) -> void
 {
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -69,12 +69,12 @@
 
 auto encode(load_report const& message) -> std::string
 {
-    return to_bytes(json::array(
-        {message.where.text(), message.started_at_ms, message.running, message.queued, message.slowdown,
-         weights_json(message.weights), message.paused, message.subscriber_count, message.operator_revision,
-         message.same_region_entries,
-         message.most_current_peer ? message.most_current_peer->text() : std::string{}, message.shed_level,
-         message.leaving}));
+    return to_bytes(
+        json::array({message.where.text(), message.started_at_ms, message.running, message.queued,
+                     message.slowdown, weights_json(message.weights), message.paused,
+                     message.subscriber_count, message.operator_revision, message.same_region_entries,
+                     message.most_current_peer ? message.most_current_peer->text() : std::string{},
+                     message.shed_level, message.leaving}));
 }
 
 auto encode_for_subscriber(std::string_view encoded_report, std::int64_t echoed_sent_at_us,
--- a/src/serving/sender_assignment.cpp
+++ b/src/serving/sender_assignment.cpp
@@ -14,8 +14,8 @@
 
 using region_map = std::map<std::string_view, region_entries>;
 
-// Senders per endpoint that give each of `entries` at least `min_endpoints` of the `endpoints`, as far as there
-// are that many.
+// Senders per endpoint that give each of `entries` at least `min_endpoints` of the `endpoints`, as far as
+// there are that many.
 auto senders_for(int entries, int endpoints, int min_endpoints, int min_senders) -> int
 {
     if (endpoints == 0) return 0;
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -1,12 +1,10 @@
 #include "hibiscuswall/weights/engine_weights_controller.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/call_headers.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace hibiscuswall {
@@ -70,8 +68,12 @@
 auto engine_weights_controller::start() -> void
 {
     loads_.on_holdings([this](chunk_holdings const& holdings) { on_peer_holdings(holdings); });
-    asio::co_spawn(context_.io, report_loop(), asio::detached);
-    asio::co_spawn(context_.io, reconcile_loop(), asio::detached);
+    start_loop(
+        context_.io.get_executor(), "engine_reports", [this] { return report_loop(); },
+        &context_.metrics_registry);
+    start_loop(
+        context_.io.get_executor(), "engine_weights", [this] { return reconcile_loop(); },
+        &context_.metrics_registry);
 }
 
 auto engine_weights_controller::serves_newest_version() const -> bool
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -3,12 +3,10 @@
 #include "hibiscuswall/weights/engine_weights_controller.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/weights/chunk_bitmap.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace hibiscuswall {
@@ -111,7 +109,8 @@
             versions_in_progress_.contains(version))
             continue;
         versions_in_progress_.insert(version);
-        asio::co_spawn(context_.io, fetch_version(version), asio::detached);
+        start_task(context_.io.get_executor(), "fetch_version", fetch_version(version),
+                   &context_.metrics_registry);
     }
 }
 
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -1,13 +1,12 @@
 #include "hibiscuswall/weights/transfer.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/weights/chunk_bitmap.hpp"
 #include "hibiscuswall/weights/progress_watch.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -100,7 +99,8 @@
     refresh_hosts();
     record_held_chunks();
     if (survey_first) co_await survey_holdings();
-    asio::co_spawn(resources_.context.io, poll_loop(), asio::detached);
+    start_task(resources_.context.io.get_executor(), "peer_polls", poll_loop(),
+               &resources_.context.metrics_registry);
     while (!cancelled_) {
         if (plan_.complete()) {
             if (co_await verify_version()) break;
@@ -137,14 +137,16 @@
 auto transfer::start_fetches() -> void
 {
     while (auto what = plan_.next(clock::now(), resources_.context.random))
-        asio::co_spawn(resources_.context.io, fetch(*what), asio::detached);
+        start_task(resources_.context.io.get_executor(), "chunk_fetch", fetch(*what),
+                   &resources_.context.metrics_registry);
 }
 
 auto transfer::survey_holdings() -> asio::awaitable<void>
 {
     auto const names = plan_.peers_to_poll(max_survey_peers, clock::now());
     for (auto const& name : names)
-        asio::co_spawn(resources_.context.io, poll_peer(name), asio::detached);
+        start_task(resources_.context.io.get_executor(), "peer_poll", poll_peer(name),
+                   &resources_.context.metrics_registry);
     auto const until = clock::now() + survey_timeout;
     while (polls_ > 0 && clock::now() < until && !cancelled_)
         co_await wait(loop_interval);
@@ -157,7 +159,8 @@
         if (resources_.settings.poll_peers == 0) co_return;
         for (auto const& name : plan_.peers_to_poll(resources_.settings.poll_peers, clock::now()))
             if (polls_ < 2 * resources_.settings.poll_peers)
-                asio::co_spawn(resources_.context.io, poll_peer(name), asio::detached);
+                start_task(resources_.context.io.get_executor(), "peer_poll", poll_peer(name),
+                           &resources_.context.metrics_registry);
         co_await sleep_for(resources_.settings.poll_interval);
     }
 }
--- a/tests/integration/endpoint_announcements_test.cpp
+++ b/tests/integration/endpoint_announcements_test.cpp
@@ -1,5 +1,5 @@
-// What endpoints say about themselves in their responses: that they leave, or that they want a pause. The real
-// entry program with scripted endpoints.
+// What endpoints say about themselves in their responses: that they leave, or that they want a pause. The
+// real entry program with scripted endpoints.
 #include <thread>
 
 #include "support/direct_entry_base.hpp"
@@ -21,20 +21,19 @@
 
 } // namespace
 
-TEST_GROUP_BASE(leaving_endpoints, direct_entry_base)
-{
+TEST_GROUP_BASE(leaving_endpoints, direct_entry_base){
     // Calls until the endpoint has received one.
-    auto call_until_received(scripted_endpoint & endpoint, std::string const& path)->void
-    {
-        CHECK(await_condition(seconds{3}, [&] {
+    auto call_until_received(scripted_endpoint & endpoint, std::string const& path)
+        ->void{CHECK(await_condition(seconds{3}, [&] {
             std::ignore = ask(path);
             return count_of(endpoint) > 0;
         }));
-    }
-};
+}
+}
+;
 
-// Guards against calls that reach an endpoint after it said in a response that it is leaving, while its record
-// still says that it is ready.
+// Guards against calls that reach an endpoint after it said in a response that it is leaving, while its
+// record still says that it is ready.
 TEST(leaving_endpoints, after_a_response_that_announces_it_they_get_no_further_call)
 {
     auto leaving = scripted_endpoint{[](auto const& request) {
@@ -73,7 +72,8 @@
     CHECK_EQUAL(1U, count_of(leaving));
 }
 
-// Guards against a call that was not run being reported otherwise when the endpoint that rejects it is leaving.
+// Guards against a call that was not run being reported otherwise when the endpoint that rejects it is
+// leaving.
 TEST(leaving_endpoints, a_rejection_that_announces_it_sends_the_call_elsewhere)
 {
     auto leaving = scripted_endpoint{
--- a/tests/support/direct_entry_base.hpp
+++ b/tests/support/direct_entry_base.hpp
@@ -3,9 +3,8 @@
 // headers, so it comes last among the includes of a test file.
 //
 //   TEST_GROUP_BASE(my_group, direct_entry_base){};
-//   auto endpoint = scripted_endpoint{[](auto const& request) { return scripted_response{signed_ok(request, "a")}; }};
-//   start_entry_with({&endpoint});
-//   CHECK_EQUAL(200, ask("/read/a").status);
+//   auto endpoint = scripted_endpoint{[](auto const& request) { return scripted_response{signed_ok(request,
+//   "a")}; }}; start_entry_with({&endpoint}); CHECK_EQUAL(200, ask("/read/a").status);
 
 #include "hibiscuswall/core/base64.hpp"
 
--- a/tests/unit/entry_directory_test.cpp
+++ b/tests/unit/entry_directory_test.cpp
@@ -57,7 +57,8 @@
 
 TEST(entry_directory, records_that_cannot_be_read_name_no_entry)
 {
-    list({item("e1"), item("e2", "{"), item("e3", "[]"), item("e4", R"({"region":7})"), item(""), item("e5")});
+    list(
+        {item("e1"), item("e2", "{"), item("e3", "[]"), item("e4", R"({"region":7})"), item(""), item("e5")});
     STRCMP_EQUAL("e1 e5 ", names().c_str());
     auto const encoded = decode_entry("entries/e9", encode_entry({"e9", "south"}));
     STRCMP_EQUAL("south", encoded->region.c_str());
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -457,8 +457,8 @@
     CHECK(sum >= 30);
 }
 
-// Guards against a share of the cold limit that is below one call for every entry, so that none may ever send,
-// and against shares that together exceed the limit.
+// Guards against a share of the cold limit that is below one call for every entry, so that none may ever
+// send, and against shares that together exceed the limit.
 TEST(placement_limits, in_a_large_fleet_a_cold_endpoint_still_gets_calls_within_its_limit)
 {
     service.max_cold_rate = 14; // 26 calls a second in total
--- a/tests/unit/sender_assignment_test.cpp
+++ b/tests/unit/sender_assignment_test.cpp
@@ -57,16 +57,18 @@
 
     static auto smallest(std::map<std::string, int> const& counts)->int
     {
-        return std::min_element(counts.begin(), counts.end(), [](auto const& left, auto const& right) {
-                   return left.second < right.second;
-               })->second;
+        return std::min_element(
+                   counts.begin(), counts.end(),
+                   [](auto const& left, auto const& right) { return left.second < right.second; })
+            ->second;
     }
 
     static auto largest(std::map<std::string, int> const& counts)->int
     {
-        return std::max_element(counts.begin(), counts.end(), [](auto const& left, auto const& right) {
-                   return left.second < right.second;
-               })->second;
+        return std::max_element(
+                   counts.begin(), counts.end(),
+                   [](auto const& left, auto const& right) { return left.second < right.second; })
+            ->second;
     }
 };
 
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -135,8 +135,8 @@
         text.replace(text.find("\"@\""), 3, value);
         return !platform::decode_endpoint("servers/i-1", text).has_value();
     };
-    for (auto const* value : {"0", "-1", "4294967297", "1e12", "1e300", "18446744073709551616", "1.5", "1e999",
-                              "true", "\"16\"", "null"})
+    for (auto const* value : {"0", "-1", "4294967297", "1e12", "1e300", "18446744073709551616", "1.5",
+                              "1e999", "true", "\"16\"", "null"})
         CHECK(refuses("slots", value));
     for (auto const* value : {"-1", "1e300", "1e12", "\"5\""})
         CHECK(refuses("coldRemainingMs", value));
