End responses that never end, and count completed parts as progress

Cause: a response that was not a stream was collected without limit, a chunk header without end grew in the parser, and interim responses could follow each other until the deadline. A stall was measured from the latest bytes, so that one byte now and then, or comment lines, kept a call at its endpoint.

Change: responses other than streams end at 4 MB, an event at 1 MB, an unfinished chunk header or trailer at 64 KB, interim responses after eight. Progress is the header, a complete event, or a kilobyte of a plain body.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -32,7 +32,7 @@
     shedding_settings shedding;
     milliseconds connect_timeout{300}; // for a connection to an endpoint
     milliseconds idle_timeout{4'000};  // of a pooled connection if the endpoint sends no Keep-Alive timeout
-    std::size_t max_response_bytes = 16U << 20U; // intended limit of a response; not enforced by the relay
+    std::size_t max_response_bytes = 4U << 20U; // of a response that is not a stream
     int max_rejected_sends = 3; // a rejection ends the call once it has been sent this many times in total
 };
 
--- a/include/hibiscuswall/serving/endpoint_response_parser.hpp
+++ b/include/hibiscuswall/serving/endpoint_response_parser.hpp
@@ -8,8 +8,9 @@
 //   if (parser.state() == response_state::complete) ...   // excess_bytes(): bytes that belong to no request
 //   parser.end_of_input(clean);                           // the connection was closed (clean) or reset
 //
-// Interim responses (1xx) are skipped. A response without a length ends with its connection: it is complete
-// only if the connection was closed cleanly.
+// Bytes that never complete a header, a chunk header or a trailer make the response invalid after 64 KB, and
+// so do more than eight interim responses. Interim responses (1xx) are skipped. A response without a length
+// ends with its connection: it is complete only if the connection was closed cleanly.
 
 #include "hibiscuswall/http/http_message.hpp"
 
@@ -49,6 +50,9 @@
     // Body bytes received since the last call, without chunk framing.
     [[nodiscard]] auto take_body() -> std::string;
 
+    // Size of the body so far, without what take_body() has returned.
+    [[nodiscard]] auto body_size() const -> std::size_t;
+
     // Number of bytes received after a complete response.
     [[nodiscard]] auto excess_bytes() const -> std::size_t;
 
@@ -68,6 +72,7 @@
     response_state state_ = response_state::head;
     bool is_head_request_ = false;
     bool begun_ = false;
+    int interim_responses_ = 0;
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -83,12 +83,13 @@
     milliseconds wait_duration{0};            // total time spent waiting
 
     // ---- the current send
-    endpoint_ptr endpoint;              // endpoint with a slot reserved for the call, or null
-    endpoint_connection_ptr connection; // null if the call is not being sent
-    int unprocessed_prompt_tokens = 0;  // prompt tokens counted at the endpoint until the first event
-    time_point sent_at;                 // start of sending the request
-    time_point last_bytes_at;           // arrival of the latest response bytes
-    bool closed_as_stalled = false;     // connection closed because the endpoint stalled
+    endpoint_ptr endpoint;                  // endpoint with a slot reserved for the call, or null
+    endpoint_connection_ptr connection;     // null if the call is not being sent
+    int unprocessed_prompt_tokens = 0;      // prompt tokens counted at the endpoint until the first event
+    time_point sent_at;                     // start of sending the request
+    time_point last_progress_at;            // the header, an event, or a part of a plain body arrived
+    std::size_t body_bytes_at_progress = 0; // of a plain body, at last_progress_at
+    bool closed_as_stalled = false;         // connection closed because the endpoint stalled
     // Connection closed to move the stream from an engine that changes its weights; at most once per call.
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
--- a/include/hibiscuswall/serving/stall_detection.hpp
+++ b/include/hibiscuswall/serving/stall_detection.hpp
@@ -4,7 +4,8 @@
 //   if (has_stalled(call, settings, now)) call.connection->close();
 //
 // A call that must not run again (not retryable, or at max_attempts) never counts as stalled: its response
-// may still arrive.
+// may still arrive. Progress is a response header, a complete event, or a kilobyte of a plain body: bytes
+// that trickle in without completing anything do not keep a call at an endpoint.
 
 #include "hibiscuswall/serving/relayed_call.hpp"
 
@@ -12,8 +13,8 @@
 
 struct stall_settings {
     milliseconds plain_response_timeout{250}; // retryable call that is not a stream
-    milliseconds first_event_timeout{800};    // stream without any response bytes yet
-    milliseconds event_gap_timeout{1'200};    // stream, since its latest bytes
+    milliseconds first_event_timeout{800};    // stream without a response header yet
+    milliseconds event_gap_timeout{1'200};    // stream, since its header or latest complete event
     // Replaces both stream limits once the latest load report is older than load_report_lifetime.
     milliseconds unreachable_engine_timeout{350};
     milliseconds move_delay{700};           // from an engine's pause until its streams are moved
--- a/src/serving/endpoint_response_parser.cpp
+++ b/src/serving/endpoint_response_parser.cpp
@@ -12,7 +12,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr auto header_limit = std::uint32_t{32 * 1024}; // maximum header size in bytes
+constexpr auto header_limit = std::uint32_t{32 * 1024};     // maximum header size in bytes
+constexpr auto max_unparsed_bytes = std::size_t{64 * 1024}; // of a chunk header or trailer that does not end
+constexpr auto max_interim_responses = 8;
 
 } // namespace
 
@@ -109,10 +111,15 @@
             return;
         }
         if (message_->has_head) state_ = response_state::body;
-        if (!message_->is_done()) return;
+        if (!message_->is_done()) {
+            if (pending_.size() > max_unparsed_bytes) state_ = response_state::invalid;
+            return;
+        }
         state_ = response_state::complete;
         // An interim response is followed by another message.
-        if (message_->status >= 100 && message_->status < 200) begin_message();
+        if (message_->status < 100 || message_->status >= 200) return;
+        begin_message();
+        if (++interim_responses_ > max_interim_responses) state_ = response_state::invalid;
     }
 }
 
@@ -133,6 +140,7 @@
 auto endpoint_response_parser::status() const -> int { return message_->status; }
 auto endpoint_response_parser::headers() const -> http_headers const& { return message_->headers; }
 auto endpoint_response_parser::take_body() -> std::string { return std::exchange(message_->body, {}); }
+auto endpoint_response_parser::body_size() const -> std::size_t { return message_->body.size(); }
 auto endpoint_response_parser::excess_bytes() const -> std::size_t
 {
     return state_ == response_state::complete ? pending_.size() : 0;
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -11,6 +11,8 @@
 
 // Pooled connections are not used in the last second of their keep-alive.
 constexpr auto keep_alive_margin = milliseconds{1'000};
+constexpr auto min_body_progress = std::size_t{1'024};     // bytes of a plain body that count as progress
+constexpr auto max_event_bytes = std::size_t{1024 * 1024}; // of an event that has not ended
 
 auto request_text(relayed_call const& call, http_headers const& headers) -> std::string
 {
@@ -72,8 +74,20 @@
               {{"endpoint", endpoint.record.id}, {"for_ms", std::to_string(response.backoff->count())}});
 }
 
-auto record_events(relayed_call& call, time_point now) -> void
+// Counts what completes something as progress, see serving/stall_detection.
+auto record_progress(relayed_call& call, endpoint_response_parser const& parser, bool had_head,
+                     time_point now) -> void
 {
+    auto const head_arrived = !had_head && parser.has_head();
+    if (!head_arrived && parser.body_size() < call.body_bytes_at_progress + min_body_progress) return;
+    call.last_progress_at = now;
+    call.body_bytes_at_progress = parser.body_size();
+}
+
+auto record_events(relayed_call& call, time_point now, bool has_events) -> void
+{
+    if (!has_events) return; // comments only
+    call.last_progress_at = now;
     if (call.first_event_at == time_point{})
         call.first_event_at = now;
     else
@@ -104,7 +118,8 @@
     call.connection = connection;
     call.closed_as_stalled = false;
     call.sent_at = clock::now();
-    call.last_bytes_at = {};
+    call.last_progress_at = {};
+    call.body_bytes_at_progress = 0;
     ++call.send_count;
     auto outcome = co_await exchange(call);
     if (call.connection != nullptr) call.connection->close();
@@ -158,8 +173,11 @@
                         parser.has_received_bytes() ? "cut" : connection_end_text(connection->end())};
                 break;
             }
-            call.last_bytes_at = clock::now();
+            auto const had_head = parser.has_head();
             parser.feed(bytes);
+            record_progress(call, parser, had_head, clock::now());
+            if (parser.body_size() > settings_.max_response_bytes)
+                co_return send_failed{"response exceeds the size limit"};
         }
         if (parser.state() == response_state::invalid) co_return send_failed{"response is not valid HTTP"};
         auto const fields = platform::decode_response(parser.status(), parser.headers());
@@ -205,9 +223,11 @@
         return send_failed{std::move(reason)};
     };
     while (true) {
+        auto const events_before = call.events.count();
         auto const complete_events = call.events.feed(parser.take_body());
+        if (call.events.pending() > max_event_bytes) co_return fail_stream("event exceeds the size limit");
         if (!complete_events.empty()) {
-            record_events(call, clock::now());
+            record_events(call, clock::now(), call.events.count() > events_before);
             call.on_prompt_processed();
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
             if (!co_await call.out.write(complete_events)) co_return fail_stream("caller disconnected");
@@ -222,7 +242,6 @@
             if (parser.state() == response_state::invalid) co_return fail_stream("cut");
             continue;
         }
-        call.last_bytes_at = clock::now();
         parser.feed(bytes);
     }
     if (call.events.pending() > 0) co_return fail_stream("stream ended within an event");
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include "hibiscuswall/serving/event_splitter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscuswall {
 namespace {
@@ -28,23 +29,32 @@
     auto const end = end_of_complete_events(buffer_, from);
     auto complete_events = buffer_.substr(0, end);
     buffer_.erase(0, end);
-    record_ids(complete_events);
+    record(complete_events);
     return complete_events;
 }
 
-auto event_splitter::record_ids(std::string_view events) -> void
+auto event_splitter::record(std::string_view events) -> void
 {
+    auto has_field = false;
     while (!events.empty()) {
         auto const end = std::min(events.find('\n'), events.size() - 1);
         auto line = events.substr(0, end);
         events.remove_prefix(end + 1);
-        if (!line.starts_with(id_field)) continue;
-        line.remove_prefix(id_field.size());
-        if (line.starts_with(' ')) line.remove_prefix(1);
         if (line.ends_with('\r')) line.remove_suffix(1);
-        if (!first_id_) first_id_ = std::string{line};
-        last_id_ = std::string{line};
+        if (line.empty() && std::exchange(has_field, false)) ++count_;
+        if (line.empty() || line.starts_with(':')) continue;
+        has_field = true;
+        record_id(line);
     }
 }
 
+auto event_splitter::record_id(std::string_view line) -> void
+{
+    if (!line.starts_with(id_field)) return;
+    line.remove_prefix(id_field.size());
+    if (line.starts_with(' ')) line.remove_prefix(1);
+    if (!first_id_) first_id_ = std::string{line};
+    last_id_ = std::string{line};
+}
+
 } // namespace hibiscuswall
--- a/src/serving/stall_detection.cpp
+++ b/src/serving/stall_detection.cpp
@@ -15,12 +15,12 @@
     if (call.connection == nullptr || call.endpoint == nullptr) return false;
     // The current send counts as a run once it is closed as stalled, and another run must still be allowed.
     if (!call.route->is_retryable() || call.run_count + 1 >= call.route->max_attempts) return false;
-    auto const stalled_for = now - std::max(call.sent_at, call.last_bytes_at);
+    auto const stalled_for = now - std::max(call.sent_at, call.last_progress_at);
     if (!call.is_stream()) return stalled_for > settings.plain_response_timeout;
     auto const& endpoint = *call.endpoint;
     auto const is_unreachable = endpoint.news && now - endpoint.received_at > settings.load_report_lifetime;
     if (is_unreachable) return stalled_for > settings.unreachable_engine_timeout;
-    auto const has_begun = call.last_bytes_at > call.sent_at;
+    auto const has_begun = call.last_progress_at > call.sent_at;
     return stalled_for > (has_begun ? settings.event_gap_timeout : settings.first_event_timeout);
 }
 
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -95,6 +95,16 @@
     }
 }
 
+auto scripted_endpoint::send_repeatedly(int socket, scripted_response const& response) -> void
+{
+    while (!stopping_) {
+        auto const size = ::send(socket, response.repeated.data(), response.repeated.size(), MSG_NOSIGNAL);
+        if (size <= 0) break;
+        std::this_thread::sleep_for(response.repeat_interval);
+    }
+    ++closed_;
+}
+
 auto scripted_endpoint::serve(int socket) -> void
 {
     auto buffer = std::string{};
@@ -121,6 +131,7 @@
         }
         std::this_thread::sleep_for(response.delay);
         ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
+        if (!response.repeated.empty()) return send_repeatedly(socket, response);
         if (!response.close) continue;
         ::shutdown(socket, SHUT_RDWR);
         return;
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -32,8 +32,10 @@
 
 struct scripted_response {
     std::string bytes;
-    bool close = false;    // close the connection after the bytes
-    milliseconds delay{0}; // wait before sending the bytes
+    bool close = false;              // close the connection after the bytes
+    milliseconds delay{0};           // wait before sending the bytes
+    std::string repeated{};          // then sent again and again until the other side closes; empty: nothing
+    milliseconds repeat_interval{0}; // between two of them
 };
 
 class scripted_endpoint {
@@ -54,6 +56,7 @@
 private:
     auto accept_loop() -> void;
     auto serve(int socket) -> void;
+    auto send_repeatedly(int socket, scripted_response const& response) -> void;
 
     respond_function respond_;
     address where_;
