Send fewer reports of idle engines, and rank agents once a listing

Cause: an agent takes half of the processor time of a large fleet that carries no calls, most of it for load reports that repeat themselves and for the rank among all agents, computed 20 times a second.

--- a/include/hibiscuswall/fleet/agent_directory.hpp
+++ b/include/hibiscuswall/fleet/agent_directory.hpp
@@ -43,6 +43,7 @@
     member const& self_;
     std::map<std::string, std::string, std::less<>> regions_;
     std::vector<member> agents_;
+    mutable std::map<std::string, double, std::less<>> ranks_; // by subject, valid for agents_
     time_point refreshed_at_;
 };
 
--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -93,12 +93,17 @@
 
     auto receive() -> asio::awaitable<void>;
     auto set_most_current_peer(load_report& report) const -> void;
+    auto is_due(load_report const& report, time_point now) -> bool;
 
     asio::ip::udp::socket socket_;
     member const& self_;
     declared_state const& declared_state_;
     subscriber_map subscribers_;
     std::function<void(chunk_holdings const&)> on_holdings_;
+    bool was_idle_ = false;                // in the latest report that was sent
+    std::size_t reported_subscribers_ = 0; // at that time
+    std::uint64_t reported_version_ = 0;   // weights version at that time; 0: none
+    time_point sent_at_;
     unsigned reports_sent_ = 0; // counts the unpaused reports, to select those for other regions
 };
 
--- a/src/fleet/agent_directory.cpp
+++ b/src/fleet/agent_directory.cpp
@@ -19,6 +19,7 @@
     auto const found = co_await store_.range(std::string{platform::endpoint_prefix}, true);
     if (!found) co_return;
     agents_.clear();
+    ranks_.clear();
     for (auto const& item : found.value().items)
         if (auto const record = platform::decode_endpoint(item.key, item.value)) add_agent(record.value());
 }
@@ -42,13 +43,16 @@
 
 auto agent_directory::rank(std::string_view subject) const -> double
 {
+    if (auto const known = ranks_.find(subject); known != ranks_.end()) return known->second;
     auto names = std::vector<std::string>{};
     for (auto const& agent : agents_)
         names.push_back(agent.name);
     if (std::find(names.begin(), names.end(), self_.name) == names.end()) names.push_back(self_.name);
     auto const order = rendezvous_rank(subject, names);
     auto const position = std::find(order.begin(), order.end(), self_.name) - order.begin();
-    return static_cast<double>(position + 1) / static_cast<double>(order.size());
+    auto const rank = static_cast<double>(position + 1) / static_cast<double>(order.size());
+    ranks_.emplace(subject, rank);
+    return rank;
 }
 
 } // namespace hibiscuswall
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -19,6 +19,7 @@
 constexpr auto subscribe_interval =
     milliseconds{250}; // each subscription also measures the round trip to the agent
 constexpr auto subscription_lifetime = milliseconds{3'500};
+constexpr auto idle_report_interval = milliseconds{280}; // well below the lifetime of a load report
 constexpr auto other_region_interval = 3U; // every third report also goes to entries of other regions
 constexpr auto max_datagram_bytes = std::size_t{2'048};
 
@@ -44,6 +45,11 @@
     return std::chrono::duration_cast<microseconds>(at.time_since_epoch()).count();
 }
 
+auto is_idle(load_report const& report) -> bool
+{
+    return report.running == 0 && report.queued == 0 && !report.paused && !report.leaving;
+}
+
 auto to_address(udp::endpoint const& from) -> address { return {from.address().to_string(), from.port()}; }
 
 } // namespace
@@ -192,10 +198,25 @@
                      {asio::ip::make_address(agent.control_address.ip), agent.control_address.port});
 }
 
+// While the engine is idle, nothing changes from one report to the next.
+auto load_report_sender::is_due(load_report const& report, time_point now) -> bool
+{
+    auto const version = report.weights ? report.weights->version : 0;
+    auto const has_changed = !was_idle_ || subscribers_.size() != reported_subscribers_ ||
+                             version != reported_version_;
+    if (is_idle(report) && !has_changed && now - sent_at_ < idle_report_interval) return false;
+    was_idle_ = is_idle(report);
+    reported_subscribers_ = subscribers_.size();
+    reported_version_ = version;
+    sent_at_ = now;
+    return true;
+}
+
 auto load_report_sender::send_report(load_report report, time_point now) -> void
 {
     std::erase_if(subscribers_,
                   [&](auto const& each) { return now - each.second.received_at > subscription_lifetime; });
+    if (!is_due(report, now)) return;
     report.subscriber_count = static_cast<int>(subscribers_.size());
     set_most_current_peer(report);
     report.same_region_entries.clear();
@@ -207,7 +228,7 @@
     std::sort(report.same_region_entries.begin(), report.same_region_entries.end());
     // Entries of other regions send calls here only if the engines in their own region are full, so they need
     // fewer reports.
-    auto const sends_to_other_regions = report.paused || reports_sent_++ % other_region_interval == 0;
+    auto const sends_to_other_regions = report.paused || is_idle(report) || reports_sent_++ % other_region_interval == 0;
     auto const common = encode(report);
     for (auto const& [to, entry] : subscribers_) {
         if (!sends_to_other_regions && entry.latest.region != self_.region) continue;
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr auto report_timeout = milliseconds{500};
+constexpr auto max_report_bytes = std::size_t{256 * 1024};
 constexpr auto reconcile_interval = milliseconds{50};
 constexpr auto failure_retry_delay = milliseconds{200}; // after a step that failed
 // Time for entries to receive the pause before the engine stops taking calls.
@@ -100,6 +101,7 @@
     options.connect_timeout = report_timeout;
     options.timeout = report_timeout;
     options.purpose = "report";
+    options.body_limit = max_report_bytes;
     auto response = co_await context_.client.fetch(settings_.engine, platform::report_request(), options);
     if (!response || response.value().status != 200) co_return false;
     engine_leaving_ = platform::is_leaving(response.value().headers);
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -140,6 +140,9 @@
 auto engine_weights_controller::fetch_version(std::uint64_t version) -> asio::awaitable<void>
 {
     auto const begun = clock::now();
+    // Also if an exception ends the fetch, so that another one can start.
+    auto const in_progress = std::shared_ptr<void>{
+        nullptr, [this, version](void* /*unused*/) { versions_in_progress_.erase(version); }};
     co_await directory_.refresh(begun);
     auto const found = co_await find_manifest(version);
     auto done = false;
@@ -157,7 +160,6 @@
     } else {
         co_await sleep_for(failure_retry_delay);
     }
-    versions_in_progress_.erase(version);
 }
 
 auto engine_weights_controller::run_transfer(manifest_ptr version) -> asio::awaitable<bool>
