--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -16,8 +16,10 @@
 
 using udp = asio::ip::udp;
 
-constexpr auto subscribe_interval =
-    milliseconds{250}; // each subscription also measures the round trip to the agent
+// Each subscription also measures the round trip to the agent.
+constexpr auto subscribe_interval = milliseconds{250};
+constexpr auto many_agents = std::size_t{16}; // from which on subscriptions are renewed less often
+constexpr auto many_subscribe_interval = milliseconds{500}; // several times within subscription_lifetime
 constexpr auto subscription_lifetime = milliseconds{3'500};
 constexpr auto idle_report_interval = milliseconds{280}; // well below the lifetime of a load report
 constexpr auto other_region_interval = 3U; // every third report also goes to entries of other regions
@@ -123,7 +125,8 @@
             if (endpoint->assigned && has_agent(*endpoint)) agents.insert(endpoint->record.where.ip);
         for (auto const& ip : agents)
             send_now(socket_, bytes, {asio::ip::make_address(ip), self_.control_address.port});
-        co_await sleep_for(agents.empty() ? subscribe_interval / 4 : subscribe_interval);
+        auto const interval = agents.size() > many_agents ? many_subscribe_interval : subscribe_interval;
+        co_await sleep_for(agents.empty() ? subscribe_interval / 4 : interval);
     }
 }
 
@@ -202,8 +205,8 @@
 auto load_report_sender::is_due(load_report const& report, time_point now) -> bool
 {
     auto const version = report.weights ? report.weights->version : 0;
-    auto const has_changed = !was_idle_ || subscribers_.size() != reported_subscribers_ ||
-                             version != reported_version_;
+    auto const has_changed =
+        !was_idle_ || subscribers_.size() != reported_subscribers_ || version != reported_version_;
     if (is_idle(report) && !has_changed && now - sent_at_ < idle_report_interval) return false;
     was_idle_ = is_idle(report);
     reported_subscribers_ = subscribers_.size();
@@ -228,7 +231,8 @@
     std::sort(report.same_region_entries.begin(), report.same_region_entries.end());
     // Entries of other regions send calls here only if the engines in their own region are full, so they need
     // fewer reports.
-    auto const sends_to_other_regions = report.paused || is_idle(report) || reports_sent_++ % other_region_interval == 0;
+    auto const sends_to_other_regions =
+        report.paused || is_idle(report) || reports_sent_++ % other_region_interval == 0;
     auto const common = encode(report);
     for (auto const& [to, entry] : subscribers_) {
         if (!sends_to_other_regions && entry.latest.region != self_.region) continue;
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -12,9 +12,9 @@
 
 using nlohmann::json;
 
-constexpr auto poll_interval = milliseconds{100};
+constexpr auto poll_interval = milliseconds{200};
 constexpr auto store_catch_up_delay =
-    milliseconds{300}; // the store's watch usually delivers the change in this time
+    milliseconds{200}; // the store's watch usually delivers the change in this time
 constexpr auto connect_timeout = milliseconds{800};
 constexpr auto fetch_timeout = milliseconds{2'500}; // allows for a complete configuration over a shared link
 constexpr auto all_path = std::string_view{"/fleet/operators"};
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -13,7 +13,8 @@
 constexpr auto report_timeout = milliseconds{500};
 constexpr auto max_report_bytes = std::size_t{256 * 1024};
 constexpr auto reconcile_interval = milliseconds{50};
-constexpr auto failure_retry_delay = milliseconds{200}; // after a step that failed
+constexpr auto idle_reconcile_interval = milliseconds{200}; // while the engine serves the newest version
+constexpr auto failure_retry_delay = milliseconds{200};     // after a step that failed
 // Time for entries to receive the pause before the engine stops taking calls.
 constexpr auto pause_notice_duration = milliseconds{120};
 constexpr auto switch_timeout = milliseconds{8'000}; // of an order that the engine began
@@ -173,8 +174,10 @@
 
 auto engine_weights_controller::reconcile_loop() -> asio::awaitable<void>
 {
+    auto is_idle = false;
     while (true) {
-        co_await sleep_for(reconcile_interval);
+        co_await sleep_for(is_idle ? idle_reconcile_interval : reconcile_interval);
+        is_idle = false;
         if (engine_service() == nullptr || !report_) continue;
         for (auto const& each : declared_state_.map()->services())
             if (each.weight_origin) origin_.set_sources({*each.weight_origin});
@@ -184,6 +187,7 @@
         schedule_source_fetches(clock::now());
         auto const next = next_weights_step(view(), settings_.schedule, clock::now());
         co_await act(next);
+        is_idle = next.action == weights_action::none && transfers_.empty();
     }
 }
 
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -20,8 +20,10 @@
 constexpr auto max_source_fetcher_polls = 10;
 constexpr auto max_manifest_peers = std::size_t{3};     // peers asked one after another for a manifest
 constexpr auto max_kept_versions = std::size_t{3};      // versions whose chunks are kept for peers
-constexpr auto same_region_receivers = std::size_t{10}; // agents per round that receive this host's holdings
-constexpr auto other_region_receivers = std::size_t{4}; // the same for agents of other regions
+constexpr auto same_region_receivers = std::size_t{5};  // agents per round that receive this host's holdings
+constexpr auto other_region_receivers = std::size_t{2}; // the same for agents of other regions
+constexpr auto complete_announce_rounds =
+    std::size_t{3}; // complete holdings do not change: sent in every third
 // Holdings are still sent this long after a version is complete.
 constexpr auto announce_duration = seconds{6};
 // Time within which all chunks are fetched from the source if it responds.
@@ -44,15 +46,18 @@
 auto engine_weights_controller::send_holdings() -> void
 {
     auto const now = clock::now();
+    ++holdings_round_;
     for (auto const& [version, manifest] : manifests_) {
         auto const complete = complete_since_.find(version);
         auto const is_spreading = complete == complete_since_.end()
                                       ? transfers_.contains(version)
                                       : now - complete->second < announce_duration;
         if (!is_spreading) continue;
+        auto const is_complete = complete != complete_since_.end();
+        if (is_complete && holdings_round_ % complete_announce_rounds != 0) continue;
         auto receivers = next_holdings_receivers();
         // Source fetchers receive each other's holdings in every round, so that none fetches a chunk twice.
-        if (complete == complete_since_.end()) {
+        if (!is_complete) {
             auto const fetchers = source_fetchers(manifest->id());
             receivers.insert(receivers.end(), fetchers.begin(), fetchers.end());
         }
@@ -76,7 +81,6 @@
     };
     take(same_region, same_region_receivers);
     take(other_regions, other_region_receivers);
-    ++holdings_round_;
     return chosen;
 }
 
