Let watches of the store wait longer, and notice a stalled one by what other entries know

They were short because only their end showed that one had stalled.

Change: watches of the operators' keys and the endpoints wait 10 s. Subscriptions and load reports carry the newest change of an endpoint's record that an entry knows; an entry that stays behind for 1.6 s reads the range again. Connections to the store and to peers use keep-alive probes. A failed call to the store of any kind marks the outage that makes deletions doubtful.

--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -44,6 +44,15 @@
         shed_level_source_ = std::move(shed_fraction);
     }
 
+    // Sets the function that returns the newest change of an endpoint's record that this entry knows.
+    auto set_records_revision_source(std::function<std::uint64_t()> revision) -> void
+    {
+        records_revision_source_ = std::move(revision);
+    }
+
+    // Newest change of an endpoint's record that any entry is known to have.
+    [[nodiscard]] auto peer_records_revision() const -> std::uint64_t { return peer_records_revision_; }
+
     // Peer address of an entry that knows a newer operator change than this process, if one is known.
     [[nodiscard]] auto newer_peer() const -> std::optional<address>;
 
@@ -61,6 +70,8 @@
     address most_current_peer_;       // entry that knows peer_revision_
     std::function<void()> on_load_report_;
     std::function<double()> shed_level_source_;
+    std::function<std::uint64_t()> records_revision_source_;
+    std::uint64_t peer_records_revision_ = 0;
 };
 
 class load_report_sender {
--- a/include/hibiscuswall/fleet/prefix_watcher.hpp
+++ b/include/hibiscuswall/fleet/prefix_watcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // Watches all keys under one prefix of the platform's store. Recovers from store outages and from lost watch
-// history by reading the complete range again.
+// history by reading the complete range again. Failures of other calls to the store tell of an outage as
+// well, so that a long watch need not end for it to be noticed.
 //
 //   auto watcher = prefix_watcher{store, random, "config/", settings, {.on_range = ..., .on_change = ...}};
 //   asio::co_spawn(io, watcher.run(), asio::detached);
@@ -46,6 +47,17 @@
     // Runs until the io_context stops.
     auto run() -> asio::awaitable<void>;
 
+    // Reads the range beside a watch that seems to have stalled. The watch goes on.
+    auto refresh() -> asio::awaitable<void>;
+
+    // Newest change of a key under the prefix that the store has named.
+    [[nodiscard]] auto changed_revision() const -> std::uint64_t { return changed_revision_; }
+
+    // Store revision up to which every change under the prefix is known.
+    [[nodiscard]] auto covered_revision() const -> std::uint64_t { return revision_; }
+
+    auto set_batch_delay(milliseconds delay) -> void { settings_.batch_delay = delay; }
+
     [[nodiscard]] auto confirmed_at() const -> time_point { return confirmed_at_; }
     [[nodiscard]] auto is_unavailable() const -> bool { return consecutive_failures_ > 0; }
 
@@ -61,7 +73,8 @@
     std::string prefix_;
     prefix_watcher_settings settings_;
     prefix_watcher_callbacks callbacks_;
-    std::uint64_t revision_ = 0;
+    std::uint64_t revision_ = 0; // from which the next watch continues
+    std::uint64_t changed_revision_ = 0;
     bool complete_ = false;           // the range was read; only watches are needed
     int consecutive_failures_ = 0;    // store calls that failed since the last response
     int short_watches_remaining_ = 0; // watches that still use short_watch_duration
--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -22,6 +22,7 @@
     std::uint64_t weights_revision = 0;  // newest weights declaration known to the subscriber
     double shed_level = 0;               // fraction of callers that the subscriber sheds
     std::int64_t sent_at_us = 0;         // subscriber's steady clock, echoed in load reports
+    std::uint64_t records_revision = 0;  // newest change of an endpoint's record known to the subscriber
 };
 
 struct load_report {
@@ -38,6 +39,7 @@
     std::uint64_t operator_revision = 0;          // newest operator change known to any subscriber
     std::optional<address> most_current_peer;     // peer address of the subscriber that knows it
     double shed_level = 0;                        // mean over the subscribers
+    std::uint64_t records_revision = 0; // newest change of an endpoint's record known to any subscriber
     // Set by encode_for_subscriber(): sent_at_us of the receiver's latest subscription, and the time since
     // that subscription arrived at the agent.
     std::int64_t echoed_sent_at_us = 0;
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -11,16 +11,27 @@
 #include "platform/endpoint_records.hpp"
 #include "platform/operator_documents.hpp"
 
+#include <algorithm>
+
 namespace hibiscuswall {
 namespace {
 
 constexpr auto program = std::string_view{"hibiscus-entry"};
-constexpr auto gather_endpoints = milliseconds{400};  // changes of endpoints within it cost one call
+// Changes of endpoints within this time cost one call to the store. The more entries follow the list, the
+// longer it is; endpoints that leave announce it to their callers earlier.
+constexpr auto gather_per_entry = milliseconds{25};
+constexpr auto min_gather = milliseconds{400};
+constexpr auto max_gather = milliseconds{1'000};
 constexpr auto balancer_time = milliseconds{3'000};   // until the balancer sends no new connections
 constexpr auto stop_margin = milliseconds{700};       // before SIGKILL
 constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
+// Of a watch call on the operators' keys and the endpoints. A stalled one is noticed earlier: load reports
+// tell what other entries know.
+constexpr auto long_wait = milliseconds{10'000};
+constexpr auto stall_check_interval = milliseconds{200};
+constexpr auto stall_margin = milliseconds{600}; // beyond the time within which entries gather changes
 
 struct direct_entry {
     daemon_base base;
@@ -59,8 +70,8 @@
                 settings.relay},
           caller_server{base.context().io, caller_routes, nullptr, server_limits({})},
           ready_server{base.context().io, ready_routes, nullptr, {}},
-          operators{
-              store, base.context().random, std::string{platform::operator_prefix}, {}, operator_events()},
+          operators{store, base.context().random, std::string{platform::operator_prefix}, operator_settings(),
+                    operator_events()},
           listing{store, base.context().random, std::string{platform::endpoint_prefix}, listing_settings(),
                   listing_events()},
           directory{{}, {settings.self.name, settings.self.region}},
@@ -81,6 +92,7 @@
                 caller_server.change_limits(server_limits(declared.map()->limits()));
         });
         loads.set_shed_level_source([this] { return relay.shed_level(); });
+        loads.set_records_revision_source([this] { return listing.changed_revision(); });
         loads.on_load_report([this] { relay.on_load_report(); });
         base.ready_when([this] { return declared.map() != nullptr && has_listing; });
         base.on_stop([this] { return drain(); });
@@ -98,7 +110,15 @@
     static auto listing_settings() -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
-        settings.batch_delay = gather_endpoints;
+        settings.wait = long_wait;
+        settings.batch_delay = min_gather;
+        return settings;
+    }
+
+    static auto operator_settings() -> prefix_watcher_settings
+    {
+        auto settings = prefix_watcher_settings{};
+        settings.wait = long_wait;
         return settings;
     }
 
@@ -133,6 +153,7 @@
             log_event(log_level::info, "entries_changed",
                       {{"entries", std::to_string(entries.size())}, {"departed", std::to_string(departed)}});
         shared_count = count;
+        listing.set_batch_delay(std::clamp(count * gather_per_entry, min_gather, max_gather));
         relay.set_entry_count(count + 1); // one that has just started may not be listed yet
         endpoints.set_entries(std::move(entries), departed);
         endpoints.update_assignment();
@@ -149,6 +170,23 @@
         }
     }
 
+    // Reads the endpoints again if another entry has known a newer change for longer than the watch needs.
+    auto run_stall_checks() -> asio::awaitable<void>
+    {
+        auto behind_since = std::optional<time_point>{};
+        while (true) {
+            co_await sleep_for(stall_check_interval);
+            auto const now = clock::now();
+            if (loads.peer_records_revision() <= listing.covered_revision())
+                behind_since.reset();
+            else if (!behind_since)
+                behind_since = now;
+            if (!behind_since || now - *behind_since < max_gather + stall_margin) continue;
+            co_await listing.refresh();
+            behind_since = clock::now();
+        }
+    }
+
     auto operator_events() -> prefix_watcher_callbacks
     {
         return {[this](store_range const& found, bool /*store_was_unavailable*/) {
@@ -239,6 +277,7 @@
         start("registration", [this] { return registration.run(); });
         start("entries", [this] { return directory_watcher.run(); });
         start("entry_checks", [this] { return run_directory_checks(); });
+        start("stall_checks", [this] { return run_stall_checks(); });
         start("operator_sync", [this] { return exchange.run(); });
         start("relay", [this] { return relay.run_maintenance(); });
         return success();
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -100,6 +100,7 @@
         microseconds{microseconds_of(now) - report.echoed_sent_at_us - report.subscription_age_us};
     endpoints_.on_load_report(report, round_trip, now);
     if (on_load_report_) on_load_report_();
+    peer_records_revision_ = std::max(peer_records_revision_, report.records_revision);
     if (!report.most_current_peer || report.operator_revision < peer_revision_) return;
     peer_revision_ = report.operator_revision;
     most_current_peer_ = *report.most_current_peer;
@@ -119,7 +120,8 @@
     while (true) {
         auto const bytes = encode(subscription{
             self_.name, self_.region, declared_state_.revision(), declared_state_.weights_revision(),
-            shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(clock::now())});
+            shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(clock::now()),
+            records_revision_source_ ? records_revision_source_() : 0});
         auto agents = std::set<std::string>{};
         for (auto const& [id, endpoint] : endpoints_.all())
             if (endpoint->assigned && has_agent(*endpoint)) agents.insert(endpoint->record.where.ip);
@@ -224,6 +226,8 @@
     set_most_current_peer(report);
     report.same_region_entries.clear();
     report.shed_level = 0;
+    for (auto const& [to, entry] : subscribers_)
+        report.records_revision = std::max(report.records_revision, entry.latest.records_revision);
     for (auto const& [to, entry] : subscribers_)
         report.shed_level += entry.latest.shed_level / static_cast<double>(subscribers_.size());
     for (auto const& [to, entry] : subscribers_)
--- a/src/fleet/prefix_watcher.cpp
+++ b/src/fleet/prefix_watcher.cpp
@@ -38,12 +38,21 @@
     auto range = co_await store_.range(prefix_);
     if (!range) co_return range.error();
     on_store_response();
-    revision_ = range.value().revision;
+    revision_ = std::max(revision_, range.value().revision);
+    for (auto const& item : range.value().items)
+        changed_revision_ = std::max(changed_revision_, item.revision);
     complete_ = true;
     callbacks_.on_range(range.value(), recently_unavailable(clock::now()));
     co_return success();
 }
 
+auto prefix_watcher::refresh() -> asio::awaitable<void>
+{
+    auto const read = co_await read_all();
+    log_event(log_level::info, "range_read_again",
+              {{"prefix", prefix_}, {"outcome", read ? "read" : read.error().message}});
+}
+
 auto prefix_watcher::watch_once() -> asio::awaitable<result<void>>
 {
     auto const wait = short_watches_remaining_ > 0 ? settings_.short_watch_duration : settings_.wait;
@@ -55,6 +64,7 @@
     auto const unavailable = recently_unavailable(clock::now());
     auto seen_keys = std::set<std::string_view>{};
     for (auto const& change : received.value().changes) {
+        changed_revision_ = std::max(changed_revision_, change.revision);
         callbacks_.on_change(change, unavailable);
         // A watch returns every value that a key had. If a key changed more than once, this process is
         // behind: reading the range fetches only the newest values, which lets it catch up over a slow link.
@@ -94,7 +104,9 @@
 
 auto prefix_watcher::recently_unavailable(time_point now) const -> bool
 {
-    return recovered_at_ != time_point{} && now - recovered_at_ < recovery_period;
+    if (recovered_at_ != time_point{} && now - recovered_at_ < recovery_period) return true;
+    auto const failed_at = store_.last_failure();
+    return failed_at != time_point{} && now - failed_at < recovery_period;
 }
 
 } // namespace hibiscuswall
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -44,6 +44,20 @@
     return code != asio::error::would_block && code != asio::error::try_again;
 }
 
+// A connection that goes silent for good, without a reset, fails after about three seconds. Only long waits
+// for a response depend on it.
+auto set_keep_alive(tcp::socket& socket) -> void
+{
+    using idle_option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using interval_option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using count_option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    auto ignored = boost::system::error_code{};
+    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+    socket.set_option(idle_option{1}, ignored);
+    socket.set_option(interval_option{1}, ignored);
+    socket.set_option(count_option{2}, ignored);
+}
+
 // Gives the socket its source address; without an address the kernel chooses.
 auto bind_source(tcp::socket& socket, std::string const& ip) -> boost::system::error_code
 {
@@ -154,6 +168,7 @@
         if (code) co_return fail(result_code::connect_failed, where.text() + ": " + code.message());
         auto ignored = boost::system::error_code{};
         fresh->stream.socket().set_option(tcp::no_delay{true}, ignored);
+        set_keep_alive(fresh->stream.socket());
         co_return fresh;
     }
 
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -10,7 +10,10 @@
 constexpr auto subscription_tag = 1; // message type, the first element of the array
 constexpr auto load_report_tag = 2;
 constexpr auto holdings_tag = 3;
-constexpr auto leaving_field = std::size_t{12}; // absent in load reports of earlier builds
+// Absent in datagrams of earlier builds.
+constexpr auto leaving_field = std::size_t{12}; // of a load report
+constexpr auto records_field = std::size_t{13}; // of a load report
+constexpr auto subscription_records_field = std::size_t{7};
 
 auto to_bytes(json const& message) -> std::string
 {
@@ -31,6 +34,20 @@
                           value.at(2).get<int>(), value.at(3).get<int>()};
 }
 
+auto subscription_from(json const& message) -> subscription
+{
+    auto decoded = subscription{};
+    decoded.entry = message.at(1).get<std::string>();
+    decoded.operator_revision = message.at(2).get<std::uint64_t>();
+    decoded.sent_at_us = message.at(3).get<std::int64_t>();
+    decoded.region = message.at(4).get<std::string>();
+    decoded.weights_revision = message.at(5).get<std::uint64_t>();
+    decoded.shed_level = message.at(6).get<double>();
+    if (message.size() > subscription_records_field)
+        decoded.records_revision = message[subscription_records_field].get<std::uint64_t>();
+    return decoded;
+}
+
 // Decodes a load report. Its inner array is the part that is the same for every subscriber.
 auto load_report_from(json const& outer) -> std::optional<datagram>
 {
@@ -54,6 +71,7 @@
     if (auto const peer = parse_address(message.at(10).get<std::string>()))
         report.most_current_peer = peer.value();
     report.shed_level = message.at(11).get<double>();
+    if (message.size() > records_field) report.records_revision = message[records_field].get<std::uint64_t>();
     report.leaving = message.size() > leaving_field && message[leaving_field].get<bool>();
     return report;
 }
@@ -62,9 +80,9 @@
 
 auto encode(subscription const& message) -> std::string
 {
-    return to_bytes(
-        json::array({subscription_tag, message.entry, message.operator_revision, message.sent_at_us,
-                     message.region, message.weights_revision, message.shed_level}));
+    return to_bytes(json::array({subscription_tag, message.entry, message.operator_revision,
+                                 message.sent_at_us, message.region, message.weights_revision,
+                                 message.shed_level, message.records_revision}));
 }
 
 auto encode(load_report const& message) -> std::string
@@ -74,7 +92,7 @@
                      message.slowdown, weights_json(message.weights), message.paused,
                      message.subscriber_count, message.operator_revision, message.same_region_entries,
                      message.most_current_peer ? message.most_current_peer->text() : std::string{},
-                     message.shed_level, message.leaving}));
+                     message.shed_level, message.leaving, message.records_revision}));
 }
 
 auto encode_for_subscriber(std::string_view encoded_report, std::int64_t echoed_sent_at_us,
@@ -96,10 +114,7 @@
     try {
         auto const message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
         if (!message.is_array() || message.empty() || !message[0].is_number_integer()) return std::nullopt;
-        if (message[0] == subscription_tag)
-            return subscription{message.at(1).get<std::string>(),   message.at(4).get<std::string>(),
-                                message.at(2).get<std::uint64_t>(), message.at(5).get<std::uint64_t>(),
-                                message.at(6).get<double>(),        message.at(3).get<std::int64_t>()};
+        if (message[0] == subscription_tag) return subscription_from(message);
         if (message[0] == load_report_tag) return load_report_from(message);
         if (message[0] == holdings_tag)
             return chunk_holdings{message.at(1).get<std::string>(), message.at(2).get<std::uint64_t>(),
--- a/tests/unit/prefix_watcher_test.cpp
+++ b/tests/unit/prefix_watcher_test.cpp
@@ -18,7 +18,8 @@
     http_client client{io, &events};
     random_source random{3};
     key_value_client kv{client, {store.where}, milliseconds{300}};
-    std::vector<std::string> received; // "all" or "change", and the value of k
+    std::vector<std::string> received;  // "all" or "change", and the value of k
+    std::vector<bool> unavailable_seen; // store_was_unavailable of each range
     std::unique_ptr<prefix_watcher> watcher;
 
     auto put(std::string value)->void
@@ -30,7 +31,8 @@
         auto settings = prefix_watcher_settings{};
         settings.wait = milliseconds{200};
         settings.batch_delay = batch_delay;
-        auto const on_range = [this](store_range const& found, bool) {
+        auto const on_range = [this](store_range const& found, bool unavailable) {
+            unavailable_seen.push_back(unavailable);
             received.push_back("all " + (found.items.empty() ? std::string{} : found.items.front().value));
         };
         auto const on_change = [this](store_change const& update, bool) {
@@ -92,3 +94,38 @@
     CHECK(run_until([&] { return has_received("all 2"); }));
     CHECK_FALSE(has_received("change 2"));
 }
+
+// A watch may stall without an error. Guards against a process that waits for its end although it knows that
+// it lacks a change.
+TEST(prefix_watcher, the_range_can_be_read_while_a_watch_waits)
+{
+    put("1");
+    start_watcher(milliseconds{0});
+    CHECK(run_until([&] { return has_received("all 1"); }));
+    auto const covered = watcher->covered_revision();
+    received.clear();
+    asio::co_spawn(io, watcher->refresh(), asio::detached);
+    CHECK(run_until([&] { return has_received("all 1"); }));
+    CHECK(watcher->covered_revision() >= covered);
+    put("2");
+    CHECK(run_until([&] { return has_received("change 2"); }));
+    CHECK(watcher->changed_revision() > covered);
+    CHECK(watcher->covered_revision() >= watcher->changed_revision());
+}
+
+// Guards against deletions that an outage caused being taken for real ones, when only another call to the
+// store has noticed the outage.
+TEST(prefix_watcher, a_failure_of_another_call_tells_of_an_outage)
+{
+    put("1");
+    start_watcher(milliseconds{0});
+    CHECK(run_until([&] { return has_received("all 1"); }));
+    CHECK(unavailable_seen.empty() || !unavailable_seen.back());
+    store.down = true;
+    CHECK_FALSE(run_coroutine(io, kv.find("p/k")).has_value());
+    store.down = false;
+    asio::co_spawn(io, watcher->refresh(), asio::detached);
+    auto const before = unavailable_seen.size();
+    CHECK(run_until([&] { return unavailable_seen.size() > before; }));
+    CHECK(unavailable_seen.back());
+}
