--- a/include/hibiscuswall/fleet/agent_directory.hpp
+++ b/include/hibiscuswall/fleet/agent_directory.hpp
@@ -29,6 +29,9 @@
     // Each agent is named by its engine's IP address. Includes this process once it is listed.
     [[nodiscard]] auto agents() const -> std::vector<member> const& { return agents_; }
 
+    // Changes whenever the list was read again.
+    [[nodiscard]] auto generation() const -> std::uint64_t { return generation_; }
+
     // Region of a failure domain; empty if the failure domain is unknown.
     [[nodiscard]] auto region_of(std::string_view domain) const -> std::string;
 
@@ -44,6 +47,7 @@
     std::map<std::string, std::string, std::less<>> regions_;
     std::vector<member> agents_;
     mutable std::map<std::string, double, std::less<>> ranks_; // by subject, valid for agents_
+    std::uint64_t generation_ = 0;
     time_point refreshed_at_;
 };
 
--- a/include/hibiscuswall/weights/chunk_plan.hpp
+++ b/include/hibiscuswall/weights/chunk_plan.hpp
@@ -14,7 +14,8 @@
 // known holders first.
 //
 // Hosts of other regions may take part. If no host of the local region holds a chunk, only one host of the
-// region, chosen by the same hashing, fetches it from another region; the others wait for that host.
+// region, chosen by the same hashing, fetches it from another region; the others wait for that host. Source
+// fetchers tell these hosts what they hold, see region_fetchers().
 
 #include "hibiscuswall/core/random_source.hpp"
 #include "hibiscuswall/core/time.hpp"
@@ -66,6 +67,11 @@
     limited,     // no fetch now: the source asked to wait or the transfer was cancelled
 };
 
+// For each chunk, the host among `names`, the hosts of one region, that fetches it from another region. Every host
+// computes the same result.
+[[nodiscard]] auto region_fetchers(std::span<chunk_entry const> chunks, std::span<std::string const> names)
+    -> std::vector<std::string>;
+
 class chunk_plan {
 public:
     chunk_plan(std::span<chunk_entry const> chunks, std::string self, chunk_plan_settings settings,
--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -51,6 +51,8 @@
     // ---- chunk holdings of peers
     auto send_holdings() -> void;
     auto next_holdings_receivers() -> std::vector<member>;
+    auto fetchers_of_other_regions(manifest const& version) -> std::vector<std::vector<member>> const&;
+    auto add_receivers_of_other_regions(manifest const& version, std::vector<member>& receivers) -> void;
     auto on_peer_holdings(chunk_holdings const& holdings) -> void;
     auto origin_region() const -> std::string;
 
@@ -112,6 +114,12 @@
     std::map<std::uint64_t, std::shared_ptr<transfer>> transfers_; // running transfers by version
     std::uint64_t engine_started_at_ms_ = 0; // start time of the engine that staged_version_ applies to
     std::size_t holdings_round_ = 0;         // selects the next agents that receive holdings
+    // Result of fetchers_of_other_regions(), valid for one version and listing of the agents.
+    struct {
+        std::string version;
+        std::uint64_t generation = 0;
+        std::vector<std::vector<member>> by_chunk;
+    } region_fetchers_;
     bool engine_leaving_ = false;            // the engine's latest response announced that it will stop
     bool paused_ = false; // the engine is being drained; entries see it as `paused` in the load report
     std::optional<time_point> drained_at_; // start of the latest drain for a switch
--- a/src/fleet/agent_directory.cpp
+++ b/src/fleet/agent_directory.cpp
@@ -20,6 +20,7 @@
     if (!found) co_return;
     agents_.clear();
     ranks_.clear();
+    ++generation_;
     for (auto const& item : found.value().items)
         if (auto const record = platform::decode_endpoint(item.key, item.value)) add_agent(record.value());
 }
--- a/src/weights/chunk_plan.cpp
+++ b/src/weights/chunk_plan.cpp
@@ -196,6 +196,22 @@
     return hosts;
 }
 
+auto region_fetchers(std::span<chunk_entry const> chunks, std::span<std::string const> names)
+    -> std::vector<std::string>
+{
+    auto fetchers = std::vector<std::string>{};
+    if (names.empty()) return fetchers;
+    for (auto const& chunk : chunks) {
+        auto const ranks_lower = [&](std::string const& left, std::string const& right) {
+            auto const left_weight = rendezvous_weight(chunk.sha256, left);
+            auto const right_weight = rendezvous_weight(chunk.sha256, right);
+            return left_weight != right_weight ? left_weight < right_weight : left > right;
+        };
+        fetchers.push_back(*std::max_element(names.begin(), names.end(), ranks_lower));
+    }
+    return fetchers;
+}
+
 auto source_rate_share(std::uint64_t region_rate, std::size_t source_fetcher_count) -> std::uint64_t
 {
     if (region_rate == 0) return 0;
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -20,7 +20,7 @@
 constexpr auto max_source_fetcher_polls = 10;
 constexpr auto max_manifest_peers = std::size_t{3};     // peers asked one after another for a manifest
 constexpr auto max_kept_versions = std::size_t{3};      // versions whose chunks are kept for peers
-constexpr auto same_region_receivers = std::size_t{5};  // agents per round that receive this host's holdings
+constexpr auto same_region_receivers = std::size_t{8};  // agents per round that receive this host's holdings
 constexpr auto other_region_receivers = std::size_t{2}; // the same for agents of other regions
 constexpr auto complete_announce_rounds =
     std::size_t{3}; // complete holdings do not change: sent in every third
@@ -57,6 +57,7 @@
         if (is_complete && holdings_round_ % complete_announce_rounds != 0) continue;
         auto receivers = next_holdings_receivers();
         // Source fetchers receive each other's holdings in every round, so that none fetches a chunk twice.
+        add_receivers_of_other_regions(*manifest, receivers);
         if (!is_complete) {
             auto const fetchers = source_fetchers(manifest->id());
             receivers.insert(receivers.end(), fetchers.begin(), fetchers.end());
@@ -66,6 +67,46 @@
     }
 }
 
+// For each chunk, the agents that fetch it into the other regions.
+auto engine_weights_controller::fetchers_of_other_regions(manifest const& version)
+    -> std::vector<std::vector<member>> const&
+{
+    auto& known = region_fetchers_;
+    if (known.version == version.id() && known.generation == directory_.generation()) return known.by_chunk;
+    known.version = version.id();
+    known.generation = directory_.generation();
+    known.by_chunk.assign(version.chunks.size(), {});
+    auto regions = std::map<std::string, std::vector<std::string>>{};
+    auto agents = std::map<std::string, member>{};
+    for (auto const& agent : directory_.agents()) {
+        if (agent.region == context_.self.region) continue;
+        regions[agent.region].push_back(agent.name);
+        agents.emplace(agent.name, agent);
+    }
+    for (auto const& [region, names] : regions) {
+        auto const fetchers = region_fetchers(version.chunks, names);
+        for (auto i = std::size_t{0}; i < fetchers.size(); ++i)
+            known.by_chunk[i].push_back(agents.at(fetchers[i]));
+    }
+    return known.by_chunk;
+}
+
+// A chunk leaves its first region as soon as the agents that fetch it into the others know a holder. In turn they
+// would hear of it only after several seconds, so source fetchers tell them in every round.
+auto engine_weights_controller::add_receivers_of_other_regions(manifest const& version,
+                                                               std::vector<member>& receivers) -> void
+{
+    auto const is_self = [&](member const& agent) { return agent.name == context_.self.name; };
+    auto const source = source_fetchers(version.id());
+    if (std::none_of(source.begin(), source.end(), is_self)) return;
+    auto const held = chunks_.held(version);
+    auto const& fetchers = fetchers_of_other_regions(version);
+    auto added = std::set<std::string>{};
+    for (auto i = std::size_t{0}; i < fetchers.size(); ++i)
+        for (auto const& agent : fetchers[i])
+            if (held[i] && added.insert(agent.name).second) receivers.push_back(agent);
+}
+
 // Selects a few agents per round in turn. With a hundred agents, sending to all costs more than the chunks
 // do.
 auto engine_weights_controller::next_holdings_receivers() -> std::vector<member>
