--- a/src/weights/chunk_plan.cpp
+++ b/src/weights/chunk_plan.cpp
@@ -269,6 +269,7 @@
                      [](auto const& left, auto const& right) { return left.first < right.first; });
     for (auto const& [holders, index] : order) {
         auto const may_cross_region = may_fetch_cross_region(chunks_[index], now);
+        if (!may_cross_region && chunks_[index].same_region_holders == 0) continue; // no peer to look for
         auto best = std::pair<std::string const*, peer_state*>{nullptr, nullptr};
         auto ties = std::size_t{0};
         for (auto const& [name, peer] : available) {
