--- a/include/hibiscuswall/observe/background.hpp
+++ b/include/hibiscuswall/observe/background.hpp
@@ -19,7 +19,7 @@
 
 // Runs the loop that `body` makes. If an exception leaves it, `body` makes it again after a pause; if it ends
 // normally, it stays ended. `counters` may be null.
-auto start_loop(asio::any_io_executor const& executor, std::string name,
+auto start_loop(asio::any_io_executor const& executor, std::string const& name,
                 std::function<asio::awaitable<void>()> body, metrics* counters = nullptr) -> void;
 
 // Runs a task once. It is not repeated after an exception.
--- a/src/observe/background.cpp
+++ b/src/observe/background.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-auto start_loop(asio::any_io_executor const& executor, std::string name,
+auto start_loop(asio::any_io_executor const& executor, std::string const& name,
                 std::function<asio::awaitable<void>()> body, metrics* counters) -> void
 {
     start_task(executor, name, run_until_it_ends(name, std::move(body), counters), counters);
--- a/src/serving/sender_assignment.cpp
+++ b/src/serving/sender_assignment.cpp
@@ -37,7 +37,9 @@
                        assignment_settings const& settings) -> void
 {
     for (auto& [region, group] : regions) {
-        auto const is_own = [&](auto const& endpoint) { return endpoint.region == region; };
+        auto const is_own = [&own_region = region](auto const& endpoint) {
+            return endpoint.region == own_region;
+        };
         auto const own = static_cast<int>(std::count_if(endpoints.begin(), endpoints.end(), is_own));
         auto const other = static_cast<int>(endpoints.size()) - own;
         auto const size = static_cast<int>(group.names.size());
