--- a/include/hibiscuswall/daemon/direct_settings.hpp
+++ b/include/hibiscuswall/daemon/direct_settings.hpp
@@ -22,8 +22,9 @@
     address peer_listen;             // "peer_listen": TCP and UDP for other daemons, metrics
     std::map<std::string, std::string, std::less<>> regions; // "regions": region of each failure domain
     milliseconds stop_time{8'000};                           // "stop_time_ms": from SIGTERM to SIGKILL
-    declared_state_settings declared;                        // "version_time_ms"
-    std::string log_level = "info";                          // "log_level"
+    milliseconds settle_time{3'000};  // "settle_time_ms": after a fault, until a host has to be up to date
+    declared_state_settings declared; // "version_time_ms"
+    std::string log_level = "info";   // "log_level"
 };
 
 struct direct_entry_settings : direct_settings {
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -27,9 +27,10 @@
 constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
-// Of a watch call on the operators' keys and the endpoints. A stalled one is noticed earlier: load reports
-// tell what other entries know.
-constexpr auto long_wait = milliseconds{10'000};
+// Watches end this long before a host has to be up to date after a fault of the store: a watch may have
+// missed a change without an error.
+constexpr auto settle_margin = milliseconds{500};
+constexpr auto min_watch_wait = milliseconds{1'000};
 constexpr auto stall_check_interval = milliseconds{200};
 constexpr auto stall_margin = milliseconds{600}; // beyond the time within which entries gather changes
 
@@ -70,10 +71,10 @@
                 settings.relay},
           caller_server{base.context().io, caller_routes, nullptr, server_limits({})},
           ready_server{base.context().io, ready_routes, nullptr, {}},
-          operators{store, base.context().random, std::string{platform::operator_prefix}, operator_settings(),
-                    operator_events()},
-          listing{store, base.context().random, std::string{platform::endpoint_prefix}, listing_settings(),
-                  listing_events()},
+          operators{store, base.context().random, std::string{platform::operator_prefix},
+                    operator_settings(watch_wait(settings)), operator_events()},
+          listing{store, base.context().random, std::string{platform::endpoint_prefix},
+                  listing_settings(watch_wait(settings)), listing_events()},
           directory{{}, {settings.self.name, settings.self.region}},
           registration{store, base.context().random, {settings.self.name, settings.self.region}},
           directory_watcher{store, base.context().random, std::string{entry_prefix}, directory_settings(),
@@ -107,18 +108,23 @@
         return server;
     }
 
-    static auto listing_settings() -> prefix_watcher_settings
+    static auto listing_settings(milliseconds wait) -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
-        settings.wait = long_wait;
+        settings.wait = wait;
         settings.batch_delay = min_gather;
         return settings;
     }
 
-    static auto operator_settings() -> prefix_watcher_settings
+    static auto watch_wait(direct_entry_settings const& settings) -> milliseconds
+    {
+        return std::max(min_watch_wait, settings.settle_time - settle_margin);
+    }
+
+    static auto operator_settings(milliseconds wait) -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
-        settings.wait = long_wait;
+        settings.wait = wait;
         return settings;
     }
 
--- a/src/daemon/direct_settings.cpp
+++ b/src/daemon/direct_settings.cpp
@@ -17,6 +17,7 @@
     settings.self.control_address = settings.peer_listen;
     settings.regions = reader.text_map("regions");
     settings.stop_time = reader.duration("stop_time_ms", settings.stop_time);
+    settings.settle_time = reader.duration("settle_time_ms", settings.settle_time);
     settings.declared.old_version_grace_period =
         reader.duration("version_time_ms", settings.declared.old_version_grace_period);
     settings.log_level = reader.choice("log_level", "info", {"debug", "info", "warning", "error"});
--- a/standins/standin_kv.cpp
+++ b/standins/standin_kv.cpp
@@ -12,6 +12,7 @@
     table.down_for_writes = wanted.value("unavailable_for_writes", false);
     table.delay = milliseconds{wanted.value("delay_ms", 0)};
     table.drop_responses = wanted.value("lose_answers", 0);
+    table.silent_watches = wanted.value("silent_watches", false);
     if (wanted.value("compact", false)) table.compacted = table.revision + 1;
     // Waiting watches end with the outage, as they would with the service's process.
     table.wake();
--- a/standins/support/key_value_table.cpp
+++ b/standins/support/key_value_table.cpp
@@ -173,8 +173,8 @@
     out.on_disconnect([&timer] { timer.cancel(); });
     waiting_.insert(&timer);
     most_waiting_ = std::max(most_waiting_, waiting_.size());
-    while (!down && after >= compacted && changes(prefix, after).empty() && clock::now() < deadline &&
-           !out.disconnected()) {
+    auto const has_news = [&] { return after < compacted || !changes(prefix, after).empty(); };
+    while (!down && (silent_watches || !has_news()) && clock::now() < deadline && !out.disconnected()) {
         timer.expires_at(deadline);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/standins/support/key_value_table.hpp
+++ b/standins/support/key_value_table.hpp
@@ -46,6 +46,7 @@
     std::map<std::string, entry> entries;
     std::uint64_t revision = 0;
     std::uint64_t compacted = 0;                // history up to this revision is gone: 410
+    bool silent_watches = false;                // waiting watches are told of nothing before their time is up
     std::map<std::string, int> writes;          // by key
     std::map<std::string, std::uint64_t> calls; // by kind
 
--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -59,6 +59,20 @@
     CHECK(await_condition(seconds{4}, [&] { return ask("/read/a").status == 404; }));
 }
 
+// The store drops a change with its history and tells a waiting watch nothing. Guards against an entry that
+// waits for the end of a long watch meanwhile; a host is expected to be up to date 3 s after the store has
+// settled.
+TEST(direct_entry_state, a_change_that_a_silent_watch_misses_is_read_within_the_settle_time)
+{
+    configure();
+    start_entry();
+    await_ready();
+    call_json(store, "POST", "/v1/fault", json{{"silent_watches", true}});
+    put("op/config", json{{"version", 9}, {"routes", json::array()}, {"services", json::array()}});
+    call_json(store, "POST", "/v1/fault", json{{"silent_watches", true}, {"compact", true}});
+    CHECK(await_condition(seconds{3}, [&] { return ask("/read/a").status == 404; }));
+}
+
 // Guards against calls that are still served with a key that operators have revoked.
 TEST(direct_entry_state, a_call_with_a_revoked_key_gets_401)
 {
