Add a datagram for quarantine records between entries

Entries have to tell each other within milliseconds which prompt segments were in crashes of endpoints. The new message carries them with ages in place of times, since two processes share no steady clock; builds without it ignore its tag. Counts, lengths, generations and ages are checked against their ranges, and the records are divided among datagrams below 1,400 bytes, which no link divides.

--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -1,13 +1,17 @@
 #pragma once
-// Datagrams between entries and agents: entries subscribe, agents send them load reports of their engine.
+// Datagrams between entries and agents: entries subscribe, agents send them load reports of their engine, and
+// entries tell each other which prompt segments were in crashes of endpoints.
 //
 //   socket.send(encode(subscription{"entry-1", revision}));       // entry to agent, about once a second
 //   auto message = decode_datagram(bytes);                        // empty if malformed or unknown
 //   if (auto const* report = std::get_if<load_report>(&*message)) table.on_load_report(*report, ...);
 
+#include "hibiscuswall/core/time.hpp"
 #include "hibiscuswall/serving/endpoint_record.hpp"
+#include "hibiscuswall/serving/prompt_quarantine.hpp"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -53,7 +57,27 @@
     std::string chunks;        // bitmap as hexadecimal text, see weights/chunk_bitmap.hpp
 };
 
-using datagram = std::variant<subscription, load_report, chunk_holdings>;
+// A crash_mark with its age in place of the time, which only the sender's steady clock can tell.
+struct aged_mark {
+    std::uint64_t run = 0;
+    int generation = 1;
+    bool cleared = false;
+    milliseconds age{0}; // since the mark was observed
+};
+
+struct aged_segment {
+    std::string model;
+    std::string segment;
+    std::vector<aged_mark> marks;
+};
+
+// Sent from entry to entry.
+struct quarantine_records {
+    std::string entry; // name of the sender
+    std::vector<aged_segment> segments;
+};
+
+using datagram = std::variant<subscription, load_report, chunk_holdings, quarantine_records>;
 
 [[nodiscard]] auto encode(subscription const& message) -> std::string;
 
@@ -65,6 +89,17 @@
 
 [[nodiscard]] auto encode(chunk_holdings const& message) -> std::string;
 
+// Converts records of the quarantine to ages, and those that were received back to times of this process.
+[[nodiscard]] auto with_ages(std::span<segment_record const> records, time_point now)
+    -> std::vector<aged_segment>;
+[[nodiscard]] auto with_times(std::span<aged_segment const> segments, time_point now)
+    -> std::vector<segment_record>;
+
+// Encodes the segments into as many datagrams as they need, each below max_quarantine_bytes. Leaves out
+// segments that a receiver would refuse, because a name or the number of marks is out of range.
+constexpr auto max_quarantine_bytes = std::size_t{1'400}; // of one datagram, so that no link divides it
+[[nodiscard]] auto encode_all(quarantine_records const& message) -> std::vector<std::string>;
+
 // Returns nullopt for datagrams that are malformed or of another protocol version.
 [[nodiscard]] auto decode_datagram(std::string_view bytes) -> std::optional<datagram>;
 
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace hibiscuswall {
 namespace {
 
@@ -10,10 +13,17 @@
 constexpr auto subscription_tag = 1; // message type, the first element of the array
 constexpr auto load_report_tag = 2;
 constexpr auto holdings_tag = 3;
+constexpr auto quarantine_tag = 4;
 // Absent in datagrams of earlier builds.
 constexpr auto leaving_field = std::size_t{12}; // of a load report
 constexpr auto records_field = std::size_t{13}; // of a load report
 constexpr auto subscription_records_field = std::size_t{7};
+// Ranges of quarantine records. One segment with the longest names and most marks fits into a datagram.
+constexpr auto max_name_bytes = std::size_t{256}; // of an entry, a model or a segment
+constexpr auto max_marks = std::size_t{16};       // of one segment
+constexpr auto max_generation = 1'000;
+constexpr auto max_age = milliseconds{24 * 3'600 * 1'000};
+constexpr auto max_array_header_bytes = std::size_t{3}; // of an array with less than 65,536 elements
 
 auto to_bytes(json const& message) -> std::string
 {
@@ -76,6 +86,72 @@
     return report;
 }
 
+auto is_name(std::string_view text) -> bool { return !text.empty() && text.size() <= max_name_bytes; }
+
+auto is_encodable(aged_segment const& segment) -> bool
+{
+    return is_name(segment.model) && is_name(segment.segment) && !segment.marks.empty() &&
+           segment.marks.size() <= max_marks;
+}
+
+auto segment_json(aged_segment const& segment) -> json
+{
+    auto marks = json::array();
+    for (auto const& mark : segment.marks) {
+        auto const age = std::clamp(mark.age, milliseconds{0}, max_age);
+        marks.push_back(json::array(
+            {mark.run, std::clamp(mark.generation, 1, max_generation), mark.cleared, age.count()}));
+    }
+    return json::array({segment.model, segment.segment, std::move(marks)});
+}
+
+// A whole number from 0 to max, or nullopt.
+auto bounded_integer(json const& value, std::uint64_t max) -> std::optional<std::uint64_t>
+{
+    if (!value.is_number_unsigned()) return std::nullopt;
+    auto const number = value.get<std::uint64_t>();
+    return number <= max ? std::optional{number} : std::nullopt;
+}
+
+auto mark_from(json const& value) -> std::optional<aged_mark>
+{
+    auto const run = bounded_integer(value.at(0), std::numeric_limits<std::uint64_t>::max());
+    auto const generation = bounded_integer(value.at(1), max_generation);
+    auto const age = bounded_integer(value.at(3), static_cast<std::uint64_t>(max_age.count()));
+    if (!run || !generation || *generation == 0 || !age) return std::nullopt;
+    return aged_mark{*run, static_cast<int>(*generation), value.at(2).get<bool>(),
+                     milliseconds{static_cast<long long>(*age)}};
+}
+
+auto segment_from(json const& value) -> std::optional<aged_segment>
+{
+    auto segment = aged_segment{};
+    segment.model = value.at(0).get<std::string>();
+    segment.segment = value.at(1).get<std::string>();
+    auto const& marks = value.at(2);
+    if (!marks.is_array() || marks.size() > max_marks) return std::nullopt;
+    for (auto const& each : marks) {
+        auto const mark = mark_from(each);
+        if (!mark) return std::nullopt;
+        segment.marks.push_back(*mark);
+    }
+    return is_encodable(segment) ? std::optional{std::move(segment)} : std::nullopt;
+}
+
+auto quarantine_records_from(json const& message) -> std::optional<datagram>
+{
+    auto decoded = quarantine_records{};
+    decoded.entry = message.at(1).get<std::string>();
+    auto const& segments = message.at(2);
+    if (!is_name(decoded.entry) || !segments.is_array()) return std::nullopt;
+    for (auto const& each : segments) {
+        auto segment = segment_from(each);
+        if (!segment) return std::nullopt;
+        decoded.segments.push_back(std::move(*segment));
+    }
+    return decoded;
+}
+
 } // namespace
 
 auto encode(subscription const& message) -> std::string
@@ -108,6 +184,56 @@
     return to_bytes(json::array({holdings_tag, message.agent, message.version, message.chunks}));
 }
 
+auto with_ages(std::span<segment_record const> records, time_point now) -> std::vector<aged_segment>
+{
+    auto segments = std::vector<aged_segment>{};
+    for (auto const& record : records) {
+        auto& segment = segments.emplace_back(aged_segment{record.model, record.segment, {}});
+        for (auto const& mark : record.marks)
+            segment.marks.push_back(
+                {mark.run, mark.generation, mark.cleared,
+                 std::chrono::duration_cast<milliseconds>(now - std::min(now, mark.observed_at))});
+    }
+    return segments;
+}
+
+auto with_times(std::span<aged_segment const> segments, time_point now) -> std::vector<segment_record>
+{
+    auto records = std::vector<segment_record>{};
+    for (auto const& segment : segments) {
+        auto& record = records.emplace_back(segment_record{segment.model, segment.segment, {}});
+        for (auto const& mark : segment.marks)
+            record.marks.push_back({mark.run, mark.generation, mark.cleared, now - mark.age});
+    }
+    return records;
+}
+
+auto encode_all(quarantine_records const& message) -> std::vector<std::string>
+{
+    if (!is_name(message.entry)) return {};
+    auto const empty_bytes = to_bytes(json::array({quarantine_tag, message.entry})).size();
+    auto const base_bytes = empty_bytes + max_array_header_bytes;
+    auto datagrams = std::vector<std::string>{};
+    auto segments = json::array();
+    auto bytes = base_bytes;
+    auto const finish = [&] {
+        if (segments.empty()) return;
+        datagrams.push_back(to_bytes(json::array({quarantine_tag, message.entry, std::move(segments)})));
+        segments = json::array();
+        bytes = base_bytes;
+    };
+    for (auto const& segment : message.segments) {
+        if (!is_encodable(segment)) continue;
+        auto encoded = segment_json(segment);
+        auto const more_bytes = json::to_cbor(encoded).size();
+        if (bytes + more_bytes >= max_quarantine_bytes) finish();
+        bytes += more_bytes;
+        segments.push_back(std::move(encoded));
+    }
+    finish();
+    return datagrams;
+}
+
 auto decode_datagram(std::string_view bytes) -> std::optional<datagram>
 {
     // The library throws on impossible array sizes even with exceptions disabled.
@@ -119,6 +245,7 @@
         if (message[0] == holdings_tag)
             return chunk_holdings{message.at(1).get<std::string>(), message.at(2).get<std::uint64_t>(),
                                   message.at(3).get<std::string>()};
+        if (message[0] == quarantine_tag) return quarantine_records_from(message);
     } catch (json::exception const&) {
         return std::nullopt; // another protocol version, or not one of our datagrams
     }
--- a/tests/unit/load_datagram_test.cpp
+++ b/tests/unit/load_datagram_test.cpp
@@ -2,6 +2,8 @@
 #include "hibiscuswall/core/random_source.hpp"
 #include "hibiscuswall/serving/load_datagram.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hibiscuswall;
@@ -60,6 +62,109 @@
     STRCMP_EQUAL("ff", std::get<chunk_holdings>(*holdings).chunks.c_str());
 }
 
+// Times become ages on the way, since two processes share no steady clock.
+TEST(load_datagram, quarantine_records_arrive_with_the_age_that_they_were_sent_with)
+{
+    auto const sent_at = time_point{seconds{1'000}};
+    auto const received_at = time_point{seconds{50}};
+    auto record = segment_record{"m", "s-1", {{17, 3, false, sent_at - seconds{7}}, {18, 1, true, sent_at}}};
+    auto const datagrams = encode_all({"e1", with_ages(std::vector{record}, sent_at)});
+    CHECK_EQUAL(1U, datagrams.size());
+    auto const message = std::get<quarantine_records>(*decode_datagram(datagrams.front()));
+    STRCMP_EQUAL("e1", message.entry.c_str());
+    auto const received = with_times(message.segments, received_at);
+    CHECK_EQUAL(1U, received.size());
+    STRCMP_EQUAL("m", received[0].model.c_str());
+    STRCMP_EQUAL("s-1", received[0].segment.c_str());
+    CHECK_EQUAL(2U, received[0].marks.size());
+    auto const& mark = received[0].marks[0];
+    CHECK(mark.run == 17 && mark.generation == 3 && !mark.cleared);
+    CHECK(mark.observed_at == received_at - seconds{7});
+    CHECK(received[0].marks[1].cleared);
+    CHECK(received[0].marks[1].observed_at == received_at);
+}
+
+TEST(load_datagram, many_quarantine_records_are_divided_among_datagrams_that_no_link_divides)
+{
+    auto message = quarantine_records{"e1", {}};
+    for (auto i = 0; i < 200; ++i)
+        message.segments.push_back({"m", std::string(static_cast<std::size_t>(i) + 1, 's'),
+                                    std::vector<aged_mark>(static_cast<std::size_t>(i) % 16 + 1,
+                                                           {~std::uint64_t{0}, 3, false, {}})});
+    auto received = std::size_t{0};
+    for (auto const& bytes : encode_all(message)) {
+        CHECK(bytes.size() < max_quarantine_bytes);
+        auto const decoded = decode_datagram(bytes);
+        CHECK(decoded.has_value());
+        for (auto const& segment : std::get<quarantine_records>(*decoded).segments) {
+            STRCMP_EQUAL(message.segments[received].segment.c_str(), segment.segment.c_str());
+            CHECK_EQUAL(message.segments[received].marks.size(), segment.marks.size());
+            ++received;
+        }
+    }
+    CHECK_EQUAL(200U, received);
+}
+
+// The longest names and most marks that a receiver accepts.
+TEST(load_datagram, the_largest_quarantine_record_fits_into_one_datagram)
+{
+    auto const name = std::string(256, 'n');
+    auto const marks =
+        std::vector<aged_mark>(16, {~std::uint64_t{0}, 1'000, false, milliseconds{86'400'000}});
+    auto const datagrams = encode_all({name, {{name, name, marks}}});
+    CHECK_EQUAL(1U, datagrams.size());
+    CHECK(datagrams.front().size() < max_quarantine_bytes);
+    CHECK(decode_datagram(datagrams.front()).has_value());
+}
+
+TEST(load_datagram, quarantine_records_that_a_receiver_would_refuse_are_not_sent)
+{
+    auto const mark = aged_mark{};
+    auto const message = quarantine_records{"e1",
+                                            {{"", "s", {mark}},
+                                             {"m", "", {mark}},
+                                             {"m", std::string(257, 's'), {mark}},
+                                             {"m", "s", {}},
+                                             {"m", "s", std::vector<aged_mark>(17, mark)}}};
+    CHECK(encode_all(message).empty());
+    CHECK(encode_all({"", {{"m", "s", {mark}}}}).empty());
+}
+
+TEST(load_datagram, quarantine_records_with_a_value_out_of_range_are_not_decoded)
+{
+    using nlohmann::json;
+    auto const is_decoded = [](json const& entry, json const& segments) {
+        auto const bytes = json::to_cbor(json::array({4, entry, segments}));
+        return decode_datagram({reinterpret_cast<char const*>(bytes.data()), bytes.size()}).has_value();
+    };
+    auto const with_mark = [](json const& mark) {
+        return json::array({json::array({"m", "s", json::array({mark})})});
+    };
+    auto const is_mark = [&](json const& mark) { return is_decoded("e1", with_mark(mark)); };
+    CHECK(is_mark(json::array({17, 1, false, 0})));
+    CHECK(is_decoded("e1", json::array()));
+    CHECK_FALSE(is_mark(json::array({-1, 1, false, 0})));
+    CHECK_FALSE(is_mark(json::array({17, 0, false, 0})));
+    CHECK_FALSE(is_mark(json::array({17, -1, false, 0})));
+    CHECK_FALSE(is_mark(json::array({17, 1'001, false, 0})));
+    CHECK_FALSE(is_mark(json::array({17, 4'294'967'297, false, 0})));
+    CHECK_FALSE(is_mark(json::array({17, 1.5, false, 0})));
+    CHECK_FALSE(is_mark(json::array({17, 1, 0, 0})));
+    CHECK_FALSE(is_mark(json::array({17, 1, false, -1})));
+    CHECK_FALSE(is_mark(json::array({17, 1, false, 86'400'001})));
+    CHECK_FALSE(is_mark(json::array({17, 1, false})));
+    CHECK_FALSE(is_mark("mark"));
+    CHECK_FALSE(is_decoded("", with_mark(json::array({17, 1, false, 0}))));
+    CHECK_FALSE(is_decoded(std::string(257, 'e'), json::array()));
+    CHECK_FALSE(is_decoded(7, json::array()));
+    CHECK_FALSE(is_decoded("e1", json::array({"segment"})));
+    CHECK_FALSE(is_decoded("e1", json::array({json::array({"m", "s", json::array()})})));
+    CHECK_FALSE(is_decoded("e1", json::array({json::array({"m", "s", json::object({{"a", 1}})})})));
+    auto const many = json(17, json::array({17, 1, false, 0}));
+    CHECK_FALSE(is_decoded("e1", json::array({json::array({"m", "s", many})})));
+    CHECK_FALSE(is_decoded("e1", json::object({{"a", json::array()}})));
+}
+
 // Guards against a datagram that exhausts the stack.
 TEST(load_datagram, a_datagram_nested_as_deeply_as_it_is_long_is_not_decoded)
 {
