List the peer address of each entry in its record

Entries that send datagrams to each other need their addresses. A record of an earlier build, or one with a malformed address, lists the entry without one.

--- a/include/hibiscuswall/fleet/entry_directory.hpp
+++ b/include/hibiscuswall/fleet/entry_directory.hpp
@@ -23,7 +23,8 @@
 
 constexpr auto entry_prefix = std::string_view{"entries/"};
 
-// The record that an entry writes about itself, and its decoding; none if the key or value is invalid.
+// The record that an entry writes about itself, and its decoding; none if the key or value is invalid. An
+// invalid peer address counts as absent.
 [[nodiscard]] auto encode_entry(listed_entry const& entry) -> std::string;
 [[nodiscard]] auto decode_entry(std::string_view key, std::string_view value) -> std::optional<listed_entry>;
 
@@ -49,7 +50,7 @@
     entry_directory_settings settings_;
     listed_entry self_;
     bool known_ = false;
-    std::map<std::string, std::string, std::less<>> regions_;   // by name of a listed entry
+    std::map<std::string, listed_entry, std::less<>> listed_;   // by name
     std::map<std::string, time_point, std::less<>> departures_; // by name of a former entry
 };
 
--- a/include/hibiscuswall/serving/sender_assignment.hpp
+++ b/include/hibiscuswall/serving/sender_assignment.hpp
@@ -11,7 +11,10 @@
 // come here when their own region lacks endpoints. The number of pairs grows with the number of endpoints,
 // not with its product with the number of entries.
 
+#include "hibiscuswall/core/address.hpp"
+
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,6 +25,7 @@
 struct listed_entry {
     std::string name;
     std::string region;
+    std::optional<address> peer_address{}; // none in records of earlier builds
 };
 
 struct assignment_settings {
--- a/src/fleet/entry_directory.cpp
+++ b/src/fleet/entry_directory.cpp
@@ -7,9 +7,23 @@
 
 namespace hibiscuswall {
 
+namespace {
+
+auto peer_address_from(nlohmann::json const& document) -> std::optional<address>
+{
+    auto const found = document.find("peer");
+    if (found == document.end() || !found->is_string()) return std::nullopt;
+    auto const parsed = parse_address(found->get<std::string>());
+    return parsed ? std::optional{parsed.value()} : std::nullopt;
+}
+
+} // namespace
+
 auto encode_entry(listed_entry const& entry) -> std::string
 {
-    return nlohmann::json{{"region", entry.region}}.dump();
+    auto document = nlohmann::json{{"region", entry.region}};
+    if (entry.peer_address) document["peer"] = entry.peer_address->text();
+    return document.dump();
 }
 
 auto decode_entry(std::string_view key, std::string_view value) -> std::optional<listed_entry>
@@ -18,13 +32,14 @@
     auto const document = nlohmann::json::parse(value, nullptr, false);
     if (!document.is_object() || !document.contains("region")) return std::nullopt;
     if (!document["region"].is_string()) return std::nullopt;
-    return listed_entry{std::string{key.substr(entry_prefix.size())}, document["region"].get<std::string>()};
+    return listed_entry{std::string{key.substr(entry_prefix.size())}, document["region"].get<std::string>(),
+                        peer_address_from(document)};
 }
 
 entry_directory::entry_directory(entry_directory_settings settings, listed_entry self)
     : settings_{settings}, self_{std::move(self)}
 {
-    regions_[self_.name] = self_.region;
+    listed_[self_.name] = self_;
 }
 
 auto entry_directory::replace(std::span<store_item const> items, time_point now) -> void
@@ -35,10 +50,10 @@
         if (auto entry = decode_entry(item.key, item.value)) {
             listed.insert(entry->name);
             departures_.erase(entry->name);
-            regions_.insert_or_assign(std::move(entry->name), std::move(entry->region));
+            listed_.insert_or_assign(entry->name, *entry);
         }
     auto gone = std::vector<std::string>{};
-    for (auto const& [name, region] : regions_)
+    for (auto const& [name, entry] : listed_)
         if (!listed.contains(name)) gone.push_back(name);
     for (auto const& name : gone)
         remove(name, now);
@@ -49,23 +64,23 @@
     auto entry = change.value ? decode_entry(change.key, *change.value) : std::nullopt;
     if (!entry) return remove(std::string_view{change.key}.substr(entry_prefix.size()), now);
     departures_.erase(entry->name);
-    regions_.insert_or_assign(std::move(entry->name), std::move(entry->region));
+    listed_.insert_or_assign(entry->name, *entry);
 }
 
 auto entry_directory::remove(std::string_view name, time_point now) -> void
 {
     if (name == self_.name) return;
-    auto const found = regions_.find(name);
-    if (found == regions_.end()) return;
+    auto const found = listed_.find(name);
+    if (found == listed_.end()) return;
     departures_.insert_or_assign(found->first, now);
-    regions_.erase(found);
+    listed_.erase(found);
 }
 
 auto entry_directory::entries() const -> std::vector<listed_entry>
 {
     auto list = std::vector<listed_entry>{};
-    for (auto const& [name, region] : regions_)
-        list.push_back({name, region});
+    for (auto const& [name, entry] : listed_)
+        list.push_back(entry);
     return list;
 }
 
--- a/tests/unit/entry_directory_test.cpp
+++ b/tests/unit/entry_directory_test.cpp
@@ -63,3 +63,28 @@
     auto const encoded = decode_entry("entries/e9", encode_entry({"e9", "south"}));
     STRCMP_EQUAL("south", encoded->region.c_str());
 }
+
+TEST(entry_directory, the_peer_address_of_an_entry_is_that_of_its_newest_record)
+{
+    auto const peer_of = [&](std::size_t index) {
+        auto const found = directory.entries().at(index).peer_address;
+        return found ? found->text() : std::string{};
+    };
+    auto const encoded = encode_entry({"e2", "north", address{"10.0.0.2", 7700}});
+    list({item("e2", encoded), item("e3")});
+    STRCMP_EQUAL("e1 e2 e3 ", names().c_str());
+    STRCMP_EQUAL("10.0.0.2:7700", peer_of(1).c_str());
+    STRCMP_EQUAL("", peer_of(2).c_str()); // written by an earlier build
+    directory.apply({"entries/e2", encode_entry({"e2", "north", address{"10.0.0.9", 7701}}), 2}, now);
+    STRCMP_EQUAL("10.0.0.9:7701", peer_of(1).c_str());
+}
+
+TEST(entry_directory, an_entry_with_a_malformed_peer_address_is_listed_without_one)
+{
+    for (auto const* peer : {R"("10.0.0.2")", R"("host:80")", R"("10.0.0.2:0")", "7", "null", "[]"}) {
+        auto const value = std::string{R"({"region":"north","peer":)"} + peer + "}";
+        auto const entry = decode_entry("entries/e2", value);
+        CHECK(entry.has_value());
+        CHECK_FALSE(entry->peer_address.has_value());
+    }
+}
