--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -1,7 +1,8 @@
 #pragma once
 // UDP datagrams on the peer address of each daemon: subscriptions from entries to agents, load reports back,
-// and chunk holdings between agents. Agents have no configured list of entries: an entry renews its
-// subscription at every agent every 250 ms, and an agent drops it if it was not renewed for 3.5 s.
+// chunk holdings between agents, and quarantine records between entries. Agents have no configured list of
+// entries: an entry renews its subscription at every agent every 250 ms, and an agent drops it if it was not
+// renewed for 3.5 s.
 //
 //   auto receiver = load_report_receiver{io, self, endpoints, declared};    // entry
 //   auto sender = load_report_sender{io, self, declared};                   // agent
@@ -50,6 +51,17 @@
         records_revision_source_ = std::move(revision);
     }
 
+    // Sets the callback that receives other entries' quarantine records and the address they came from.
+    using quarantine_callback = std::function<void(quarantine_records const&, address const& from)>;
+    auto on_quarantine_records(quarantine_callback callback) -> void
+    {
+        on_quarantine_records_ = std::move(callback);
+    }
+
+    // Sends one datagram to the peer address of another process. One that does not fit into the send buffer
+    // is dropped.
+    auto send(std::string const& bytes, address const& to) -> void;
+
     // Newest change of an endpoint's record that any entry is known to have.
     [[nodiscard]] auto peer_records_revision() const -> std::uint64_t { return peer_records_revision_; }
 
@@ -69,6 +81,7 @@
     std::uint64_t peer_revision_ = 0; // newest operator change that a load report named
     address most_current_peer_;       // entry that knows peer_revision_
     std::function<void()> on_load_report_;
+    quarantine_callback on_quarantine_records_;
     std::function<double()> shed_level_source_;
     std::function<std::uint64_t()> records_revision_source_;
     std::uint64_t peer_records_revision_ = 0;
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -84,9 +84,16 @@
         auto const message = decode_datagram({buffer.data(), size});
         if (!message) continue;
         if (auto const* report = std::get_if<load_report>(&*message)) on_report_received(*report);
+        auto const* records = std::get_if<quarantine_records>(&*message);
+        if (records != nullptr && on_quarantine_records_) on_quarantine_records_(*records, to_address(from));
     }
 }
 
+auto load_report_receiver::send(std::string const& bytes, address const& to) -> void
+{
+    send_now(socket_, bytes, {asio::ip::make_address(to.ip), to.port});
+}
+
 auto load_report_receiver::newer_peer() const -> std::optional<address>
 {
     if (peer_revision_ <= declared_state_.revision()) return std::nullopt;
