Decide which prompt segments are suspected, on trial and quarantined

Without it, a call whose prompt crashes every engine that begins to answer it is sent again and again, and each crash ends up to 16 other callers' responses.

The marks of crashes are a bounded replicated set; the module has no network and no clock. A segment is also explained by one of a lower generation that was in more crashes, and by several others that together were in all of its crashes.

--- a/include/hibiscuswall/serving/prompt_quarantine.hpp
+++ b/include/hibiscuswall/serving/prompt_quarantine.hpp
@@ -6,6 +6,7 @@
 //   quarantine.set_entries(names);                               // of the fleet, including this one
 //   auto const decision = quarantine.decide(call, now);          // before each send
 //   auto const suspicion = quarantine.suspicion_of(call);        // kept with the send
+//   quarantine.end_trial(call.model, on_trial.segments);         // if the decision was send_on_trial
 //   quarantine.record_crash(run, suspects, now);                 // the endpoint ended while it had calls
 //   quarantine.record_progress(call, now);                       // a response got past its beginning
 //   quarantine.merge(records, now);                              // from another entry, or from the store
@@ -23,41 +24,27 @@
 //   generation 3  quarantined  calls are rejected until the quarantine time has passed; then on trial again
 //
 // Marks are merged as a set in which "cleared" wins, so that lost, late, doubled and reordered messages lead
-// every entry to the same result.
+// every entry to the same result. Which segments are told apart is described in candidate_groups.hpp. Not for
+// several threads at once.
+//
+// Segments of a decision are as in the records: ids that are too long are replaced by their digests.
 
-#include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/serving/candidate_groups.hpp"
+#include "hibiscuswall/serving/crash_marks.hpp"
+#include "hibiscuswall/serving/trial_ranks.hpp"
 
-#include <cstdint>
-#include <map>
-#include <optional>
-#include <span>
-#include <string>
-#include <string_view>
+#include <set>
 #include <variant>
-#include <vector>
 
 namespace hibiscuswall {
 
-struct quarantine_settings {
-    int quarantine_generation = 3;           // generation from which calls are rejected
-    milliseconds suspicion_lifetime{30'000}; // of marks below the quarantine generation
-    milliseconds quarantine_time{600'000};   // until the first new trial; doubles with each generation
-    milliseconds max_quarantine_time{3'600'000};
-    milliseconds trial_due_lifetime{3'600'000}; // a segment that nobody asks for is forgotten after it
-    milliseconds trial_rank_delay{500};         // entry of rank n may send a trial call n times this later
-    milliseconds held_retry_after{500};         // for calls that wait for the outcome of a trial
-    std::size_t max_segments = 256;             // least suspected and oldest are forgotten first
-    std::size_t max_marks = 8;          // of one segment; the oldest of the lowest generation go first
-    std::size_t max_call_segments = 64; // segments of one call that are looked at
-};
-
 // What a call's prompt shares with other calls.
 struct shared_prompt {
     std::string model;                 // model that the call asks for; segments of other models differ
     std::vector<std::string> segments; // ids of all segments but the last, which belongs to the call itself
 };
 
-// Generation of each segment, in the order of shared_prompt::segments.
+// Generation of each segment, in the order of shared_prompt::segments; 0 for those beyond its end.
 using suspicion = std::vector<int>;
 
 // A call at an endpoint that ended, whose response had not got past its beginning.
@@ -66,26 +53,12 @@
     suspicion when_sent; // result of suspicion_of() when the call was sent
 };
 
-// One crash in which a segment was suspect.
-struct crash_mark {
-    std::uint64_t run = 0; // identifies the run of the endpoint, see run_id()
-    int generation = 1;
-    bool cleared = false;   // a later response with the segment got past its beginning
-    time_point observed_at; // earliest time known
-};
-
-struct segment_record {
-    std::string model;
-    std::string segment;
-    std::vector<crash_mark> marks;
-};
-
 // ---- decisions
 
 struct send_allowed {};
 
-struct send_on_trial { // this entry may send this call; report the end with end_trial()
-    std::string segment;
+struct send_on_trial { // this entry may send this call; report its outcome or end with end_trial()
+    std::vector<std::string> segments;
 };
 
 struct send_held { // another call with the segment is on trial
@@ -144,7 +117,7 @@
 
     // ---- decisions
     [[nodiscard]] auto decide(shared_prompt const& prompt, time_point now) -> send_decision;
-    auto end_trial(std::string_view model, std::string_view segment) -> void;
+    auto end_trial(std::string_view model, std::span<std::string const> segments) -> void;
     [[nodiscard]] auto suspicion_of(shared_prompt const& prompt) const -> suspicion;
     [[nodiscard]] auto is_quarantined(shared_prompt const& prompt, time_point now) const -> bool;
 
@@ -153,6 +126,33 @@
 
     auto remove_expired(time_point now) -> void; // called periodically
     [[nodiscard]] auto status(time_point now) const -> std::vector<segment_status>;
+
+private:
+    struct suspect_segment;
+    struct verdict;
+
+    [[nodiscard]] auto suspect_segments(shared_prompt const& prompt) const -> std::vector<suspect_segment>;
+    [[nodiscard]] auto judge(shared_prompt const& prompt, time_point now) const -> verdict;
+    auto judge_trial(suspect_segment const& suspect, std::string_view model, time_point now,
+                     verdict& result) const -> void;
+    auto judge_group(candidate_group const& group, std::string_view model, time_point now,
+                     verdict& result) const -> void;
+    [[nodiscard]] auto is_on_trial_now(std::string_view model, std::string_view segment) const -> bool;
+    [[nodiscard]] auto quarantine_end(std::string_view model, candidate_group const& group) const
+        -> time_point;
+    [[nodiscard]] auto find_group(std::string_view model, std::string_view segment) const
+        -> candidate_group const*;
+    [[nodiscard]] auto status_of(std::string_view model, std::string_view segment,
+                                 marked_segment const& marks, time_point now) const -> segment_status;
+    auto update_groups(std::string_view model) -> void;
+    auto update_all_groups() -> void;
+
+    quarantine_settings settings_;
+    crash_marks marks_;
+    trial_ranks ranks_;
+    std::map<std::string, candidate_groups, std::less<>> groups_;                   // by model; no empty ones
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> trials_; // running here; by model
+    std::map<std::string, time_point, std::less<>> weights_declared_at_;            // by model; latest
 };
 
 } // namespace hibiscuswall
