Run the quarantine's exchange and store at every entry

Each entry owns one prompt_quarantine. The directory tells it and its exchange which entries there are; the store's values are read at the start. direct_entry_base can start a further entry, so that tests with real programs show what reaches the other one, what a restart and the end of all entries leave, and what lifting does.

--- a/include/hibiscuswall/fleet/quarantine_document.hpp
+++ b/include/hibiscuswall/fleet/quarantine_document.hpp
@@ -7,7 +7,7 @@
 // A value names model, segment and the crashes. Times are left out: no steady clock spans two processes, so
 // the crashes count as observed when the value is read.
 
-#include "hibiscuswall/serving/prompt_quarantine.hpp"
+#include "hibiscuswall/serving/marked_segment.hpp"
 
 #include <optional>
 #include <string>
--- a/include/hibiscuswall/fleet/quarantine_schedule.hpp
+++ b/include/hibiscuswall/fleet/quarantine_schedule.hpp
@@ -15,7 +15,7 @@
 #include "hibiscuswall/core/address.hpp"
 #include "hibiscuswall/core/random_source.hpp"
 #include "hibiscuswall/core/time.hpp"
-#include "hibiscuswall/serving/prompt_quarantine.hpp"
+#include "hibiscuswall/serving/marked_segment.hpp"
 
 #include <map>
 #include <optional>
--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -8,7 +8,7 @@
 
 #include "hibiscuswall/core/time.hpp"
 #include "hibiscuswall/serving/endpoint_record.hpp"
-#include "hibiscuswall/serving/prompt_quarantine.hpp"
+#include "hibiscuswall/serving/marked_segment.hpp"
 
 #include <optional>
 #include <span>
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -6,6 +6,9 @@
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
+#include "hibiscuswall/fleet/quarantine_exchange.hpp"
+#include "hibiscuswall/fleet/quarantine_routes.hpp"
+#include "hibiscuswall/fleet/quarantine_store.hpp"
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/endpoint_records.hpp"
@@ -27,6 +30,7 @@
 constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
+constexpr auto quarantine_check_interval = milliseconds{1'000};
 // Watches end this long before a host has to be up to date after a fault of the store: a watch may have
 // missed a change without an error.
 constexpr auto settle_margin = milliseconds{500};
@@ -40,6 +44,10 @@
     declared_state declared;
     endpoint_table endpoints;
     load_report_receiver loads;
+    prompt_quarantine quarantine;
+    quarantine_exchange quarantine_peers;
+    quarantine_store quarantine_storage;
+    quarantine_routes quarantine_operations;
     call_relay relay;
     http_router caller_routes;
     http_router ready_routes;
@@ -62,6 +70,11 @@
                                                  settings.self.name,
                                                  base.context().random},
           loads{base.context().io, base.context().self, endpoints, declared},
+          quarantine{{}, settings.self.name}, quarantine_peers{base.context().io, settings.self.name,
+                                                               quarantine, loads, base.context().random},
+          quarantine_storage{store, base.context().random, settings.self.name, quarantine,
+                             [this] { quarantine_peers.on_change(); }},
+          quarantine_operations{base.context(), quarantine, [this] { quarantine_peers.on_change(); }},
           relay{base.context().io,
                 declared,
                 endpoints,
@@ -75,8 +88,8 @@
                     operator_settings(watch_wait(settings)), operator_events()},
           listing{store, base.context().random, std::string{platform::endpoint_prefix},
                   listing_settings(watch_wait(settings)), listing_events()},
-          directory{{}, {settings.self.name, settings.self.region}},
-          registration{store, base.context().random, {settings.self.name, settings.self.region}},
+          directory{{}, listing_of(settings.self)}, registration{store, base.context().random,
+                                                                 listing_of(settings.self)},
           directory_watcher{store, base.context().random, std::string{entry_prefix}, directory_settings(),
                             directory_events()},
           exchange{base.context(), declared, operator_scope::all, [this] { return loads.newer_peer(); }},
@@ -108,6 +121,11 @@
         return server;
     }
 
+    static auto listing_of(member const& self) -> listed_entry
+    {
+        return {self.name, self.region, self.control_address};
+    }
+
     static auto listing_settings(milliseconds wait) -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
@@ -161,10 +179,21 @@
         shared_count = count;
         listing.set_batch_delay(std::clamp(count * gather_per_entry, min_gather, max_gather));
         relay.set_entry_count(count + 1); // one that has just started may not be listed yet
+        set_quarantine_entries(entries);
         endpoints.set_entries(std::move(entries), departed);
         endpoints.update_assignment();
     }
 
+    auto set_quarantine_entries(std::vector<listed_entry> const& entries) -> void
+    {
+        auto names = std::vector<std::string>{};
+        for (auto const& entry : entries)
+            names.push_back(entry.name);
+        quarantine_peers.set_entries(entries);
+        quarantine_storage.set_entries(names);
+        quarantine.set_entries(std::move(names));
+    }
+
     // Entries that departed long ago no longer count.
     auto run_directory_checks() -> asio::awaitable<void>
     {
@@ -176,6 +205,15 @@
         }
     }
 
+    // Old marks of crashes no longer count.
+    auto run_quarantine_checks() -> asio::awaitable<void>
+    {
+        while (true) {
+            co_await sleep_for(quarantine_check_interval);
+            quarantine.remove_expired(clock::now());
+        }
+    }
+
     // Reads the endpoints again if another entry has known a newer change for longer than the watch needs.
     auto run_stall_checks() -> asio::awaitable<void>
     {
@@ -283,6 +321,9 @@
         start("registration", [this] { return registration.run(); });
         start("entries", [this] { return directory_watcher.run(); });
         start("entry_checks", [this] { return run_directory_checks(); });
+        start("quarantine_checks", [this] { return run_quarantine_checks(); });
+        start("quarantine_exchange", [this] { return quarantine_peers.run(); });
+        start("quarantine_store", [this] { return quarantine_storage.run(); });
         start("stall_checks", [this] { return run_stall_checks(); });
         start("operator_sync", [this] { return exchange.run(); });
         start("relay", [this] { return relay.run_maintenance(); });
--- a/tests/support/direct_entry_base.hpp
+++ b/tests/support/direct_entry_base.hpp
@@ -82,21 +82,30 @@
         std::filesystem::remove_all(folder);
     }
 
-    auto start_entry()->void
+    // Listeners of one entry program.
+    struct entry_listeners {
+        address callers;
+        address ready;
+        address peers;
+    };
+
+    auto start_entry()->void { entry = start_entry_program("e1", {callers, ready, peers}); }
+
+    auto start_entry_program(std::string const& name, entry_listeners const& where)->process
     {
-        auto const settings = json{{"name", "e1"},
+        auto const settings = json{{"name", name},
                                    {"region", "north"},
                                    {"failure_domain", "north-a"},
                                    {"store", store.text()},
-                                   {"peer_listen", peers.text()},
-                                   {"caller_listen", callers.text()},
-                                   {"ready_listen", ready.text()},
+                                   {"peer_listen", where.peers.text()},
+                                   {"caller_listen", where.callers.text()},
+                                   {"ready_listen", where.ready.text()},
                                    {"regions", {{"north-a", "north"}}},
                                    {"stop_time_ms", 6000},
                                    {"limits", {{"repeat_ratio", 0.2}, {"repeat_reserve", 320}}}};
-        std::ofstream{folder / "entry.json"} << settings.dump();
-        entry =
-            process{"hibiscus-entry", {"--settings", (folder / "entry.json").string()}, folder / "entry.log"};
+        auto const file = folder / (name + ".json");
+        std::ofstream{file} << settings.dump();
+        return process{"hibiscus-entry", {"--settings", file.string()}, folder / (name + ".log")};
     }
 
     auto put(std::string const& key, json const& value)->void
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -4,9 +4,13 @@
 #include "hibiscuswall/calls/event_parser.hpp"
 #include "hibiscuswall/config/config_document.hpp"
 #include "hibiscuswall/core/address.hpp"
+#include "hibiscuswall/fleet/entry_directory.hpp"
+#include "hibiscuswall/fleet/quarantine_document.hpp"
+#include "hibiscuswall/fleet/quarantine_routes.hpp"
 #include "hibiscuswall/http/http_message.hpp"
 #include "hibiscuswall/membership/member.hpp"
 #include "hibiscuswall/rpc/rpc_dispatcher.hpp"
+#include "hibiscuswall/serving/load_datagram.hpp"
 #include "hibiscuswall/weights/manifest.hpp"
 
 #include "support/mutation.hpp"
@@ -53,6 +57,43 @@
     });
 }
 
+TEST(fuzz, entries_from_the_store)
+{
+    auto const seeds = std::vector<std::string>{encode_entry({"e1", "north", address{"10.0.0.1", 7700}})};
+    for_each_mutation(seeds, rounds, fuzz_seed,
+                      [](std::string const& text) { std::ignore = decode_entry("entries/e1", text); });
+}
+
+TEST(fuzz, quarantine_records_from_entries)
+{
+    auto const marks = std::vector<aged_mark>{{17, 3, false, milliseconds{400}}, {18, 1, true, {}}};
+    auto const seeds = encode_all({"e1", {{"m", "s-1", marks}, {"m", "s-2", marks}}});
+    for_each_mutation(seeds, rounds, fuzz_seed, [](std::string const& bytes) {
+        auto const message = decode_datagram(bytes);
+        if (!message || !std::holds_alternative<quarantine_records>(*message)) return;
+        auto const& records = std::get<quarantine_records>(*message);
+        std::ignore = encode_all(records);
+        std::ignore = with_times(records.segments, time_point{});
+    });
+}
+
+TEST(fuzz, quarantine_values_from_the_store)
+{
+    auto const record = segment_record{"m", "s-1", {{17, 3, false, {}}, {18, 1, true, {}}}};
+    auto const key = quarantine_key("m", "s-1");
+    auto const seeds = std::vector<std::string>{*encode_quarantine(record)};
+    for_each_mutation(seeds, rounds, fuzz_seed, [&](std::string const& text) {
+        std::ignore = decode_quarantine(key, text, time_point{});
+    });
+}
+
+TEST(fuzz, segment_names_from_operators)
+{
+    auto const seeds = std::vector<std::string>{"/fleet/quarantine/m/s%2F1"};
+    for_each_mutation(seeds, rounds, fuzz_seed,
+                      [](std::string const& path) { std::ignore = segment_name_from(path); });
+}
+
 TEST(fuzz, addresses_and_targets)
 {
     auto const seeds =
