--- a/include/hibiscuswall/serving/candidate_groups.hpp
+++ b/include/hibiscuswall/serving/candidate_groups.hpp
@@ -8,7 +8,9 @@
 // of them may be rejected. Otherwise a caller could have another caller's segment rejected by always sending
 // it together with one that crashes engines. A group is explained, and not rejected, if
 //   - another segment was in all of its crashes and in more, or
-//   - several groups that are not explained themselves were in all of its crashes, each in some.
+//   - all of its crashes but at most one are shared with groups that are not explained themselves.
+// The second happens to a sound segment while several others crash engines. A segment that does crash engines
+// crashes another one when it is tried, and then is no longer explained.
 
 #include "hibiscuswall/serving/crash_marks.hpp"
 
--- a/src/serving/candidate_groups.cpp
+++ b/src/serving/candidate_groups.cpp
@@ -7,6 +7,9 @@
 namespace hibiscuswall {
 namespace {
 
+// Of a group that shares crashes with others. A single one may have had another reason.
+constexpr auto min_own_crashes = 2;
+
 using run_set = std::vector<std::uint64_t>; // sorted
 
 auto counted_runs(marked_segment const& segment) -> run_set
@@ -52,7 +55,7 @@
     });
 }
 
-// Leaves a set of groups that together were in all crashes and none of which the others make superfluous.
+// The groups that remain were together in all crashes, but for single ones.
 auto mark_covered(std::span<candidate_group> groups) -> void
 {
     auto ordered = std::vector<candidate_group*>{};
@@ -60,9 +63,10 @@
         ordered.push_back(&group);
     std::sort(ordered.begin(), ordered.end(), has_weaker_evidence);
     for (auto* const group : ordered) {
-        auto const is_covered = std::all_of(group->runs.begin(), group->runs.end(),
-                                            [&](auto run) { return is_in_other_group(run, *group, groups); });
-        group->is_explained = group->is_explained || is_covered;
+        auto const own = std::count_if(group->runs.begin(), group->runs.end(),
+                                       [&](auto run) { return !is_in_other_group(run, *group, groups); });
+        auto const is_alone = own == std::ssize(group->runs);
+        if (!is_alone && own < min_own_crashes) group->is_explained = true;
     }
 }
 
--- a/src/serving/crash_marks.cpp
+++ b/src/serving/crash_marks.cpp
@@ -21,10 +21,23 @@
     auto const order = [](listed_segment const& each) {
         return std::tuple{each.marks->generation(), each.marks->crashes(), each.marks->newest()};
     };
-    if (order(left) != order(right)) return order(left) < order(right);
+    auto const left_order = order(left);
+    auto const right_order = order(right);
+    if (left_order != right_order) return left_order < right_order;
     return std::tie(*left.model, *left.segment) < std::tie(*right.model, *right.segment);
 }
 
+auto least_suspected(crash_marks::model_map const& models) -> listed_segment
+{
+    auto least = listed_segment{};
+    for (auto const& [model, segments] : models)
+        for (auto const& [segment, marks] : segments) {
+            auto const listed = listed_segment{&model, &segment, &marks};
+            if (least.marks == nullptr || is_less_suspected(listed, least)) least = listed;
+        }
+    return least;
+}
+
 auto list(crash_marks::model_map const& models) -> std::vector<listed_segment>
 {
     auto listed = std::vector<listed_segment>{};
@@ -151,11 +164,10 @@
     auto const model_name = std::string{model};
     auto const segment_name = std::string{segment};
     if (size_ >= limits_.max_segments) {
-        auto const listed = list(models_);
-        auto const least = std::min_element(listed.begin(), listed.end(), is_less_suspected);
-        if (least == listed.end()) return false;
-        if (is_less_suspected({&model_name, &segment_name, &marks}, *least)) return false;
-        erase(*least->model, *least->segment);
+        auto const least = least_suspected(models_);
+        auto const added = listed_segment{&model_name, &segment_name, &marks};
+        if (least.marks == nullptr || is_less_suspected(added, least)) return false;
+        erase(*least.model, *least.segment);
     }
     models_[model_name].emplace(segment_name, std::move(marks));
     ++size_;
