Keep a stored quarantine that this entry had no room for

An entry removes the value of a segment that it no longer knows. A value that was read while the quarantine held more suspected segments than it can keep would have been removed as well, for the whole fleet. Only segments that were known here since are now taken for forgotten.

--- a/include/hibiscuswall/fleet/quarantine_plan.hpp
+++ b/include/hibiscuswall/fleet/quarantine_plan.hpp
@@ -9,13 +9,15 @@
 //   plan.on_written(key, generation, revision);               // or on_conflict(), on_found(), on_removed()
 //
 // All entries come to the same verdict and one of them has to write it: the entry of rank n does so n seconds
-// later, unless it knows that the value is there. The same holds for the removal once a segment is cleared.
+// later, unless it knows that the value is there. The same holds for the removal once a segment is cleared,
+// or forgotten; a value that the quarantine had no room for stays.
 
 #include "hibiscuswall/serving/prompt_quarantine.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
@@ -84,6 +86,7 @@
         bool is_removal = false;
     };
     using pending_map = std::map<std::string, pending_change, std::less<>>; // by key
+    using key_set = std::set<std::string, std::less<>>;
 
     [[nodiscard]] auto is_stored(std::string_view key, int generation) const -> bool;
     [[nodiscard]] auto is_due(std::string const& key, bool is_removal, time_point now, pending_map& pending)
@@ -96,6 +99,7 @@
     std::vector<std::string> entries_; // names, including this entry's
     stored_map stored_;
     pending_map pending_;
+    key_set seen_; // keys of segments that the quarantine has known since they were stored
 };
 
 } // namespace hibiscuswall
--- a/src/fleet/quarantine_plan.cpp
+++ b/src/fleet/quarantine_plan.cpp
@@ -4,7 +4,6 @@
 #include "hibiscuswall/fleet/quarantine_document.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace hibiscuswall {
 
@@ -24,16 +23,18 @@
 {
     auto step = std::optional<store_step>{};
     auto pending = pending_map{}; // changes that are still wanted
-    auto kept = std::set<std::string, std::less<>>{};
+    auto kept = key_set{};
+    std::erase_if(seen_, [&](auto const& key) { return !stored_.contains(key); });
     for (auto const& status : statuses) {
-        if (status.state == segment_state::cleared) continue;
         auto key = quarantine_key(status.model, status.segment);
+        seen_.insert(key);
+        if (status.state == segment_state::cleared) continue;
         kept.insert(key);
         if (status.state != segment_state::quarantined || is_stored(key, status.generation)) continue;
         if (is_due(key, false, now, pending) && !step) step = write_step(std::move(key), status);
     }
     for (auto const& [key, stored] : stored_) {
-        if (kept.contains(key)) continue;
+        if (kept.contains(key) || !seen_.contains(key)) continue;
         if (is_due(key, true, now, pending) && !step) step = removal_step(key);
     }
     pending_ = std::move(pending);
--- a/tests/unit/quarantine_store_test.cpp
+++ b/tests/unit/quarantine_store_test.cpp
@@ -189,9 +189,11 @@
     CHECK_FALSE(step_of(first, segment_state::cleared, 0).has_value());
 }
 
-TEST(quarantine_plan, a_segment_that_is_no_longer_known_is_removed)
+TEST(quarantine_plan, a_segment_that_was_forgotten_is_removed_and_one_that_was_never_known_is_not)
 {
     first.on_read({{key, stored_quarantine{3, 41}}});
+    CHECK_FALSE(first.next_step({}, now).has_value()); // the quarantine had no room for it
+    CHECK_FALSE(step_of(first, segment_state::on_trial).has_value());
     auto const step = first.next_step({}, now);
     CHECK(std::holds_alternative<store_removal>(*step));
     first.on_conflict(std::get<store_removal>(*step));
