Log each connection that ends without a complete answer

Callers lost requests beside a change of the configuration, and the lines could not tell why: an exception in a handler, a failed write, a request that was not read and a refused connection left no line with the call's id and the version of its configuration, and a call that had been answered in the log may not have been written to the caller.

The relay now logs response_incomplete with the call, the reason, how much was written, and both the call's and the newest configuration; call_ended of a caller that left says how its connection ended; the server logs requests that it could not read and connections that it did not take.

--- a/include/hibiscuswall/http/http_router.hpp
+++ b/include/hibiscuswall/http/http_router.hpp
@@ -20,6 +20,13 @@
 
 namespace asio = boost::asio;
 
+// How far an answer got.
+enum class answer_progress {
+    none,     // no byte of it was written
+    begun,    // a part was written
+    complete, // all of it was written, with its length or end marker
+};
+
 // Where a handler puts its answer: either one send(), or start(), write()..., finish() for a streamed body.
 // Every call gives false once the caller's connection is gone.
 class http_responder {
@@ -40,6 +47,10 @@
     // Called once, on the network thread, when the caller closes the connection while the handler runs.
     virtual auto on_disconnect(std::function<void()> callback) -> void = 0;
     [[nodiscard]] virtual auto disconnected() const -> bool = 0;
+
+    // For the log: how far the answer got, and why it got no further.
+    [[nodiscard]] virtual auto progress() const -> answer_progress = 0;
+    [[nodiscard]] virtual auto failure() const -> std::string = 0; // empty while nothing failed
 };
 
 using http_handler = std::function<asio::awaitable<void>(http_request const&, http_responder&)>;
--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -80,8 +80,11 @@
     auto end_without_retry(relayed_call& call, result_code code, std::string reason, milliseconds retry_after)
         -> asio::awaitable<void>;
     auto retry_budget_for(std::string const& service) -> window_retry_budget&;
+
+    // ---- call_log.cpp
     auto record_end(relayed_call const& call, std::string_view outcome, int status, std::string_view reason)
         -> void;
+    auto log_incomplete(relayed_call const& call, std::string_view reason) -> void;
 
     // ---- call_waiting.cpp
     auto find_endpoint_or_wait(relayed_call& call) -> asio::awaitable<placement>;
--- a/src/http/disconnect_watch.hpp
+++ b/src/http/disconnect_watch.hpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace hibiscuswall {
@@ -24,6 +25,7 @@
     boost::beast::tcp_stream& stream;
     std::function<void()> callback; // called once, when the caller is gone
     bool gone = false;
+    std::string end;       // how the caller's connection ended, once it is gone
     bool finished = false; // the handler has ended: the stream may no longer exist
 
     explicit disconnect_watch(boost::beast::tcp_stream& watched) : stream{watched} {}
@@ -53,6 +55,7 @@
         if (!code && size > 0) return; // a pipelined request: nothing more can be learned by waiting
         if (code == boost::asio::error::would_block || code == boost::asio::error::try_again) return arm();
         gone = true;
+        end = code ? "connection failed: " + code.message() : "closed its connection";
         if (callback) std::exchange(callback, nullptr)();
     }
 };
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -97,8 +97,10 @@
         message.body() = std::move(response.body);
         message.prepare_payload();
         answered_ = true;
+        progress_ = answer_progress::begun;
         stream_.expires_after(server_.limits.write_timeout);
         auto [code, size] = co_await http::async_write(stream_, message, awaitable_tuple);
+        if (!code) progress_ = answer_progress::complete;
         co_return note(code);
     }
 
@@ -108,6 +110,7 @@
         copy_headers(message, headers);
         message.chunked(true);
         answered_ = true;
+        progress_ = answer_progress::begun;
         streaming_ = true;
         auto serializer = http::response_serializer<http::empty_body>{message};
         stream_.expires_after(server_.limits.write_timeout);
@@ -131,10 +134,15 @@
         if (broken_) co_return false;
         stream_.expires_after(server_.limits.write_timeout);
         auto [code, size] = co_await asio::async_write(stream_, http::make_chunk_last(), awaitable_tuple);
+        if (!code) progress_ = answer_progress::complete;
         co_return note(code);
     }
 
-    auto abort() -> void override { broken_ = true; }
+    auto abort() -> void override
+    {
+        broken_ = true;
+        failure_ = "aborted";
+    }
     auto on_disconnect(std::function<void()> callback) -> void override
     {
         if (!watch_->gone) {
@@ -145,6 +153,11 @@
     }
     [[nodiscard]] auto disconnected() const -> bool override { return watch_->gone || broken_; }
 
+    [[nodiscard]] auto progress() const -> answer_progress override { return progress_; }
+    [[nodiscard]] auto failure() const -> std::string override
+    {
+        return watch_->gone && failure_.empty() ? "caller " + watch_->end : failure_;
+    }
     [[nodiscard]] auto answered() const -> bool { return answered_; }
 
     // Whether the connection can carry another request: every byte of this answer left and was complete.
@@ -166,8 +179,10 @@
 
     auto note(boost::system::error_code code) -> bool
     {
-        if (code) broken_ = true;
-        return !code;
+        if (!code) return true;
+        broken_ = true;
+        failure_ = "writing failed: " + code.message();
+        return false;
     }
 
     beast::tcp_stream& stream_;
@@ -178,6 +193,8 @@
     bool answered_ = false;
     bool streaming_ = false;
     bool broken_ = false;
+    answer_progress progress_ = answer_progress::none;
+    std::string failure_;
 };
 
 // Reads what the caller still sends. Closing a socket with unread bytes resets the connection, and a caller
@@ -219,11 +236,16 @@
         if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) break;
         if (code) {
             // Out of descriptors, for example: accept again after a pause instead of spinning.
+            log_event(log_level::warning, "accept_failed", {{"reason", code.message()}});
             auto timer = asio::steady_timer{io, milliseconds{50}};
             co_await timer.async_wait(awaitable_tuple);
             continue;
         }
-        if (connections >= limits.connections) continue; // the socket closes here
+        if (connections >= limits.connections) { // the socket closes here
+            log_event(log_level::warning, "connection_refused",
+                      {{"connections", std::to_string(connections)}});
+            continue;
+        }
         auto ignored = boost::system::error_code{};
         socket.set_option(tcp::no_delay{true}, ignored);
         asio::co_spawn(io, serve(std::move(socket)), asio::detached);
@@ -274,6 +296,10 @@
         auto watch = std::make_shared<disconnect_watch>(stream);
         if (code) {
             auto failure = read_failure(late ? beast::error::timeout : code);
+            log_event(log_level::info, "request_not_read",
+                      {{"reason", late ? "timeout" : code.message()},
+                       {"target", std::string{parser.get().target()}},
+                       {"status", failure ? std::to_string(failure->status) : "none"}});
             if (!failure) co_return;
             auto out = responder{stream, *this, watch, false};
             co_await out.send(std::move(*failure));
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -105,7 +105,14 @@
         if (call.connection != nullptr) call.connection->close();
         if (call.wait_timer != nullptr) call.wait_timer->cancel();
     });
-    co_await run(call);
+    try {
+        co_await run(call);
+    } catch (std::exception const& problem) {
+        log_incomplete(call, problem.what());
+        throw;
+    }
+    if (out.progress() != answer_progress::complete && !call.caller_disconnected)
+        log_incomplete(call, out.failure());
 }
 
 // Finds route, account and service in the newest configuration. A call that waits is looked up again, so that
@@ -204,7 +211,7 @@
         if (co_await handle_outcome(call, std::move(outcome))) co_return;
     }
     release_slot(call);
-    record_end(call, "caller_left", 0, "");
+    record_end(call, "caller_left", 0, call.out.failure());
 }
 
 // Updates the endpoint's failure statistics with the outcome of a send.
@@ -372,37 +379,4 @@
     }
 }
 
-auto call_relay::record_end(relayed_call const& call, std::string_view outcome, int status,
-                            std::string_view reason) -> void
-{
-    auto const now = clock::now();
-    auto const duration = std::chrono::duration<double>(now - call.arrived_at).count();
-    auto const service = call.service == nullptr ? std::string_view{"none"} : call.service->name;
-    metrics_registry_.count("calls", {{"service", service}, {"outcome", outcome}});
-    metrics_registry_.observe("call_seconds", {{"service", service}}, duration);
-    auto const has_events = call.first_event_at != time_point{};
-    if (has_events)
-        metrics_registry_.observe(
-            "first_event_seconds", {{"service", service}},
-            std::chrono::duration<double>(call.first_event_at - call.arrived_at).count());
-    log_event(log_level::info, "call_ended",
-              {{"call", call.fields.call_id},
-               {"route", call.route == nullptr ? "none" : call.route->name},
-               {"account", call.account == nullptr ? "none" : call.account->name},
-               {"outcome", std::string{outcome}},
-               {"status", std::to_string(status)},
-               {"reason", reason.empty() ? "none" : std::string{reason}},
-               {"shed", call.shed ? "1" : "0"},
-               {"waited_ms", std::to_string(call.wait_duration.count())},
-               {"sends", std::to_string(call.send_count)},
-               {"runs", std::to_string(call.run_count)},
-               {"endpoints", std::to_string(call.tried_endpoints.size())},
-               {"last_endpoint", call.tried_endpoints.empty() ? "none" : *call.tried_endpoints.rbegin()},
-               {"first_ms", has_events ? ms_text(call.first_event_at - call.arrived_at) : "none"},
-               {"longest_gap_ms", ms_text(call.max_event_gap)},
-               {"unread_ms", ms_text(call.read_at - call.arrived_at)},
-               {"total_ms", ms_text(now - call.arrived_at)},
-               {"config_version", call.map == nullptr ? "none" : std::to_string(call.map->version())}});
-}
-
 } // namespace hibiscuswall
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -36,6 +36,8 @@
     milliseconds delay{0};           // wait before sending the bytes
     std::string repeated{};          // then sent again and again until the other side closes; empty: nothing
     milliseconds repeat_interval{0}; // between two of them
+    std::string late_bytes{};        // sent once, late_delay after the bytes
+    milliseconds late_delay{0};
 };
 
 class scripted_endpoint {
