Keep the configuration of a call until its next match is complete

Cause: look_up() replaced the call's configuration first and the pointers into it one by one. When the route, the key or the service was gone, it returned with pointers into a configuration that nothing held any more; the end of the call then read the names of service and account from freed memory. What follows depends on the heap: an exception (http_handler_failed reason=basic_string::_M_create, seen), or the end of the process with every call in flight.

Configuration and pointers are one value, route_match, that is found aside and replaced as a whole; a look-up that fails leaves the earlier one, which the end of the call is then logged with.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -66,7 +66,8 @@
 
     // ---- call_relay.cpp
     auto look_up(relayed_call& call) -> result<void>;
-    auto choose_service(relayed_call& call) -> result<void>;
+    auto find_match(relayed_call const& call, route_match& match) -> result<void>;
+    auto choose_service(route_match& match) -> result<void>;
     auto run(relayed_call& call) -> asio::awaitable<void>;
     auto next_endpoint(relayed_call& call) -> placement;
     auto may_move(relayed_call& call, time_point now) -> bool;
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -53,14 +53,18 @@
 
 // ---- the call
 
-struct relayed_call {
-    http_request const& request;                 // as received from the caller
-    http_responder& out;                         // response to the caller
-    platform::call_fields fields;                // decoded headers
-    service_map_ptr map;                         // configuration of the latest route lookup
+// What one configuration says about a call. Replaced as a whole: the pointers are valid as long as its map.
+struct route_match {
+    service_map_ptr map;                         // the configuration
     call_route const* route = nullptr;           // in map
     client_account const* account = nullptr;     // in map; null if the call needs no account
     service_definition const* service = nullptr; // in map
+};
+
+struct relayed_call : route_match {
+    http_request const& request;                 // as received from the caller
+    http_responder& out;                         // response to the caller
+    platform::call_fields fields;                // decoded headers
     time_point arrived_at;                       // the first bytes reached this host
     time_point read_at;                          // this process has read the complete request
     time_point deadline;                         // latest time for the final response
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -116,28 +116,36 @@
 }
 
 // Finds route, account and service in the newest configuration. A call that waits is looked up again, so that
-// no call is handled by an older configuration once a newer one has been used.
+// no call is handled by an older configuration once a newer one has been used. If that fails, the call ends
+// with its earlier match, which the log names.
 auto call_relay::look_up(relayed_call& call) -> result<void>
 {
-    call.map = declared_state_.map();
-    if (call.map == nullptr)
+    auto match = route_match{};
+    auto found = find_match(call, match);
+    if (found || call.map == nullptr) static_cast<route_match&>(call) = std::move(match);
+    return found;
+}
+
+auto call_relay::find_match(relayed_call const& call, route_match& match) -> result<void>
+{
+    match.map = declared_state_.map();
+    if (match.map == nullptr)
         return fail(result_code::configuration_missing,
                     "this entry has received no configuration yet; the call was not run");
-    call.route = call.map->route(call.request.headers.find("Host"), call.request.path());
-    if (call.route == nullptr)
+    match.route = match.map->route(call.request.headers.find("Host"), call.request.path());
+    if (match.route == nullptr)
         return fail(result_code::unknown_service, "no route matches this host and path");
-    call.account = nullptr;
-    if (call.route->requires_key && call.map->has_accounts()) {
-        call.account = call.map->account_of_key(call.fields.key);
-        if (call.account == nullptr)
+    if (match.route->requires_key && match.map->has_accounts()) {
+        match.account = match.map->account_of_key(call.fields.key);
+        if (match.account == nullptr)
             return fail(result_code::unknown_account, "no client account has this key");
     }
-    return choose_service(call);
+    return choose_service(match);
 }
 
-auto call_relay::choose_service(relayed_call& call) -> result<void>
+auto call_relay::choose_service(route_match& match) -> result<void>
 {
-    auto const& services = call.route->services;
+    auto const& services = match.route->services;
     auto sum = 0.0;
     for (auto const& each : services)
         sum += each.weight;
@@ -150,8 +158,8 @@
         }
         remaining -= each.weight;
     }
-    call.service = call.map->service(chosen->name);
-    if (call.service == nullptr)
+    match.service = match.map->service(chosen->name);
+    if (match.service == nullptr)
         return fail(result_code::no_endpoint,
                     "the route names service " + chosen->name + ", which is not in the configuration");
     return success();
--- a/tests/integration/config_during_call_test.cpp
+++ b/tests/integration/config_during_call_test.cpp
@@ -6,6 +6,21 @@
 
 using namespace hibiscuswall;
 
+namespace {
+
+constexpr auto time_at_endpoint = milliseconds{400}; // of a call, long enough to change the configuration
+
+// Takes the call, and closes the connection without a response after time_at_endpoint.
+auto close_later() -> scripted_response
+{
+    auto response = scripted_response{};
+    response.close = true;
+    response.delay = time_at_endpoint;
+    return response;
+}
+
+} // namespace
+
 TEST_GROUP_BASE(config_during_a_call, direct_entry_base){
     // Replaces the configuration by one without routes and accounts of the earlier ones.
     auto remove_routes()->void{
@@ -30,6 +45,31 @@
 }
 ;
 
+// Guards against an entry that ends, or a caller without a response, because a call that is sent again reads
+// the route, account and service of a configuration that is no longer there.
+TEST(config_during_a_call, a_retried_call_whose_route_is_gone_gets_a_response_and_is_logged_with_its_route)
+{
+    auto endpoint = scripted_endpoint{[](auto const&) { return close_later(); }};
+    start_entry_with({&endpoint});
+    for (auto round = 0; round < 2; ++round) {
+        configure();
+        CHECK(await_condition(seconds{2}, [&] { return ask("/none/x").status == 404; }));
+        auto response = std::async(std::launch::async, [&] { return ask("/read/x"); });
+        auto const sent = static_cast<std::size_t>(round) + 1;
+        CHECK(await_condition(seconds{2}, [&] { return endpoint.requests().size() == sent; }));
+        remove_routes();
+        auto const status = response.get().status;
+        CHECK_EQUAL(504, status); // it may have run
+        CHECK(await_condition(seconds{2}, [&] {
+            return logged({"event=call_ended", "call=call-" + std::to_string(calls), "route=read",
+                           "account=guild", "outcome=failed"});
+        }));
+    }
+    CHECK(is_ready());
+    CHECK(metrics_page().find("outcome=\"failed\",service=\"s\"") != std::string::npos ||
+          metrics_page().find("service=\"s\",outcome=\"failed\"") != std::string::npos);
+}
+
 // Guards against a lost response that nobody can explain: the line names call, reason and configuration.
 TEST(config_during_a_call, a_response_that_breaks_off_is_logged_with_call_reason_and_configuration)
 {
