Keep a call at a silent endpoint until another endpoint can take it

Where no other endpoint had a free slot, or the retry budget was used up, the entry had already closed the connection to the endpoint that was about to go on.

Cause: a stalled call's connection was closed first and a place for the call looked for afterwards. The move of streams away from engines that change their weights looked first, but reserved nothing, so several streams that moved in one round could count on the same free slot.

A stalled call now waits, ahead of calls that were not sent yet, for a slot and a retry, both taken before its connection is closed; if its endpoint goes on, it stays.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -70,7 +70,6 @@
     auto choose_service(route_match& match) -> result<void>;
     auto run(relayed_call& call) -> asio::awaitable<void>;
     auto next_endpoint(relayed_call& call) -> placement;
-    auto may_move(relayed_call& call, time_point now) -> bool;
     auto record_send_outcome(relayed_call const& call, tracked_endpoint& endpoint,
                              send_outcome const& outcome) -> void;
     auto end_unroutable_call(relayed_call& call, error why) -> asio::awaitable<void>;
@@ -93,8 +92,16 @@
     auto wait_for_slot(relayed_call& call) -> asio::awaitable<void>;
     auto dispatch_waiting() -> void;
     auto reserve_slot(relayed_call& call, endpoint_ptr const& endpoint) -> void;
+    auto assign_endpoint(relayed_call& call, endpoint_ptr const& endpoint) -> void;
     auto release_slot(relayed_call& call) -> void;
 
+    // ---- call_replacement.cpp
+    auto check_progress(relayed_call& call, time_point now) -> void;
+    auto seek_replacement(relayed_call& call) -> void;
+    auto stop_seeking_replacement(relayed_call& call) -> void;
+    auto reserve_replacement(relayed_call& call, time_point now) -> bool;
+    auto take_replacement(relayed_call& call) -> bool;
+
     // ---- call_shedding.cpp
     auto select_endpoint(relayed_call& call) -> asio::awaitable<placement>;
     auto shedder_for(std::string const& service) -> load_shedder&;
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -62,12 +62,12 @@
 };
 
 struct relayed_call : route_match {
-    http_request const& request;                 // as received from the caller
-    http_responder& out;                         // response to the caller
-    platform::call_fields fields;                // decoded headers
-    time_point arrived_at;                       // the first bytes reached this host
-    time_point read_at;                          // this process has read the complete request
-    time_point deadline;                         // latest time for the final response
+    http_request const& request;  // as received from the caller
+    http_responder& out;          // response to the caller
+    platform::call_fields fields; // decoded headers
+    time_point arrived_at;        // the first bytes reached this host
+    time_point read_at;           // this process has read the complete request
+    time_point deadline;          // latest time for the final response
 
     std::set<std::string> tried_endpoints; // ids of endpoints that must not get the call again
     int send_count = 0;            // send attempts for which a connection to an endpoint was available
@@ -94,6 +94,8 @@
     time_point last_progress_at;            // the header, an event, or a part of a plain body arrived
     std::size_t body_bytes_at_progress = 0; // of a plain body, at last_progress_at
     bool closed_as_stalled = false;         // connection closed because the endpoint stalled
+    bool seeks_replacement = false;         // stalled; stays at its endpoint until another can take it
+    endpoint_ptr replacement; // slot reserved for the next send, its retry spent from the budget; or null
     // Connection closed to move the stream from an engine that changes its weights; at most once per call.
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
--- a/include/hibiscuswall/serving/stall_detection.hpp
+++ b/include/hibiscuswall/serving/stall_detection.hpp
@@ -1,7 +1,10 @@
 #pragma once
 // Detects endpoints that do not respond, so that their calls can be retried at another endpoint.
 //
-//   if (has_stalled(call, settings, now)) call.connection->close();
+//   if (has_stalled(call, settings, now)) seek_replacement(call);
+//
+// A sound endpoint may be silent for a while too, so a stalled call stays where it is until another endpoint
+// can take it.
 //
 // A call that must not run again (not retryable, or at max_attempts) never counts as stalled: its response
 // may still arrive. Progress is a response header, a complete event, or a kilobyte of a plain body: bytes
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -79,6 +79,7 @@
         relay.active_.erase(&call);
         relay.waiting_calls_.erase(&call.queue_entry);
         relay.wait_queue_.remove(call.queue_entry);
+        if (call.replacement != nullptr) endpoint_table::record_end(*call.replacement);
         if (call.endpoint == nullptr) return;
         call.on_prompt_processed();
         endpoint_table::record_end(*std::exchange(call.endpoint, nullptr));
@@ -193,7 +194,9 @@
             if (auto found = look_up(call); !found)
                 co_return co_await end_unroutable_call(call, found.error());
         }
-        auto const decision = co_await select_endpoint(call);
+        auto const is_replaced = take_replacement(call);
+        auto decision = placement{placed{call.endpoint}};
+        if (!is_replaced) decision = co_await select_endpoint(call);
         if (call.caller_disconnected) break;
         if (auto const* rejection = std::get_if<rejected>(&decision)) {
             auto const reason = reason_text(rejection->reason);
@@ -203,7 +206,8 @@
                                                  rejection->retry_after);
         }
         if (call.endpoint == nullptr) reserve_slot(call, std::get<placed>(decision).endpoint);
-        if (call.send_count > 0 && !retry_budget_for(call.service->name).try_spend(clock::now())) {
+        auto const needs_retry = call.send_count > 0 && !is_replaced;
+        if (needs_retry && !retry_budget_for(call.service->name).try_spend(clock::now())) {
             release_slot(call);
             co_return co_await end_without_retry(
                 call, result_code::retry_budget_exhausted,
@@ -212,6 +216,7 @@
         }
         auto const endpoint = call.endpoint;
         auto outcome = co_await send(call);
+        stop_seeking_replacement(call);
         release_slot(call);
         call.tried_endpoints.insert(endpoint->record.id);
         if (call.caller_disconnected) break;
@@ -352,30 +357,14 @@
         budget.set_entries(entries);
 }
 
-// A stream is moved only if another engine has a free slot for it now.
-auto call_relay::may_move(relayed_call& call, time_point now) -> bool
-{
-    if (call.moved || !should_move(call, settings_.stalls, now)) return false;
-    auto const decision = next_endpoint(call);
-    return std::holds_alternative<placed>(decision);
-}
-
 auto call_relay::run_maintenance() -> asio::awaitable<void>
 {
     auto last_expiry = clock::now();
     while (true) {
         co_await sleep_for(maintenance_interval);
         auto const now = clock::now();
-        for (auto* call : active_) {
-            if (has_stalled(*call, settings_.stalls, now)) {
-                call->closed_as_stalled = true;
-                call->connection->close();
-            }
-            if (may_move(*call, now)) {
-                call->moved = true;
-                call->connection->close();
-            }
-        }
+        for (auto* call : active_)
+            check_progress(*call, now);
         endpoints_.update_assignment();
         dispatch_waiting();
         update_shedders(now);
--- /dev/null
+++ b/src/serving/call_replacement.cpp
@@ -0,0 +1,72 @@
+// Moves calls away from endpoints that stall or change their weights. A call leaves its endpoint only once a
+// slot elsewhere is reserved for it: a sound endpoint may be silent for a while and then go on, and a stream
+// that has begun would be broken off if nothing could take it.
+#include "hibiscuswall/serving/call_relay.hpp"
+
+namespace hibiscuswall {
+
+// Called periodically for each call.
+auto call_relay::check_progress(relayed_call& call, time_point now) -> void
+{
+    if (!call.moved && should_move(call, settings_.stalls, now)) {
+        call.moved = reserve_replacement(call, now);
+        return;
+    }
+    if (call.connection == nullptr || call.replacement != nullptr) return;
+    if (has_stalled(call, settings_.stalls, now))
+        seek_replacement(call);
+    else
+        stop_seeking_replacement(call);
+}
+
+// Waits for a slot at another endpoint, ahead of calls that were not sent yet, while the endpoint may still
+// respond.
+auto call_relay::seek_replacement(relayed_call& call) -> void
+{
+    if (call.seeks_replacement) return;
+    call.queue_entry.priority = -1;
+    call.queue_entry.until = call.deadline;
+    if (!wait_queue_.add(call.queue_entry)) return;
+    waiting_calls_[&call.queue_entry] = &call;
+    call.seeks_replacement = true;
+}
+
+auto call_relay::stop_seeking_replacement(relayed_call& call) -> void
+{
+    if (!call.seeks_replacement) return;
+    call.seeks_replacement = false;
+    waiting_calls_.erase(&call.queue_entry);
+    wait_queue_.remove(call.queue_entry);
+}
+
+// Reserves a slot at another endpoint and closes the connection to the present one. Returns whether there was
+// one.
+auto call_relay::reserve_replacement(relayed_call& call, time_point now) -> bool
+{
+    if (call.connection == nullptr) return false;
+    call.tried_endpoints.insert(call.endpoint->record.id);
+    auto const decision = next_endpoint(call);
+    auto const* found = std::get_if<placed>(&decision);
+    if (found == nullptr || !retry_budget_for(call.service->name).try_spend(now)) return false;
+    call.closed_as_stalled = call.seeks_replacement;
+    stop_seeking_replacement(call);
+    call.replacement = found->endpoint;
+    endpoint_table::record_send(*call.replacement, now);
+    call.connection->close();
+    return true;
+}
+
+// Makes the reserved slot that of the next send. Not if the call's service changed meanwhile.
+auto call_relay::take_replacement(relayed_call& call) -> bool
+{
+    if (call.replacement == nullptr) return false;
+    auto const replacement = std::exchange(call.replacement, nullptr);
+    if (replacement->record.service == call.service->name) {
+        assign_endpoint(call, replacement);
+        return true;
+    }
+    endpoint_table::record_end(*replacement);
+    return false;
+}
+
+} // namespace hibiscuswall
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -19,11 +19,17 @@
 } // namespace
 
 auto call_relay::reserve_slot(relayed_call& call, endpoint_ptr const& endpoint) -> void
+{
+    endpoint_table::record_send(*endpoint, clock::now());
+    assign_endpoint(call, endpoint);
+}
+
+// Makes the endpoint, at which a slot is reserved, that of the call's next send.
+auto call_relay::assign_endpoint(relayed_call& call, endpoint_ptr const& endpoint) -> void
 {
     call.endpoint = endpoint;
     call.unprocessed_prompt_tokens = call.fields.prompt_tokens;
     endpoint->unprocessed_prompt_tokens += call.unprocessed_prompt_tokens;
-    endpoint_table::record_send(*endpoint, clock::now());
 }
 
 auto call_relay::release_slot(relayed_call& call) -> void
@@ -85,6 +91,10 @@
 {
     for (auto* each : wait_queue_.by_priority()) {
         auto& call = *waiting_calls_.at(each);
+        if (call.seeks_replacement) {
+            reserve_replacement(call, clock::now());
+            continue;
+        }
         if (call.endpoint != nullptr || call.caller_disconnected) continue;
         auto const decision = next_endpoint(call);
         auto const* found = std::get_if<placed>(&decision);
