--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -53,17 +53,21 @@
 
 // ---- the call
 
-struct relayed_call {
-    http_request const& request;                 // as received from the caller
-    http_responder& out;                         // response to the caller
-    platform::call_fields fields;                // decoded headers
-    service_map_ptr map;                         // configuration of the latest route lookup
+// What one configuration says about a call. Replaced as a whole: the pointers are valid as long as its map.
+struct route_match {
+    service_map_ptr map;                         // the configuration
     call_route const* route = nullptr;           // in map
     client_account const* account = nullptr;     // in map; null if the call needs no account
     service_definition const* service = nullptr; // in map
-    time_point arrived_at;                       // the first bytes reached this host
-    time_point read_at;                          // this process has read the complete request
-    time_point deadline;                         // latest time for the final response
+};
+
+struct relayed_call : route_match {
+    http_request const& request;  // as received from the caller
+    http_responder& out;          // response to the caller
+    platform::call_fields fields; // decoded headers
+    time_point arrived_at;        // the first bytes reached this host
+    time_point read_at;           // this process has read the complete request
+    time_point deadline;          // latest time for the final response
 
     std::set<std::string> tried_endpoints; // ids of endpoints that must not get the call again
     int send_count = 0;            // send attempts for which a connection to an endpoint was available
@@ -90,6 +94,8 @@
     time_point last_progress_at;            // the header, an event, or a part of a plain body arrived
     std::size_t body_bytes_at_progress = 0; // of a plain body, at last_progress_at
     bool closed_as_stalled = false;         // connection closed because the endpoint stalled
+    bool seeks_replacement = false;         // stalled; stays at its endpoint until another can take it
+    endpoint_ptr replacement; // slot reserved for the next send, its retry spent from the budget; or null
     // Connection closed to move the stream from an engine that changes its weights; at most once per call.
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -79,6 +79,7 @@
         relay.active_.erase(&call);
         relay.waiting_calls_.erase(&call.queue_entry);
         relay.wait_queue_.remove(call.queue_entry);
+        if (call.replacement != nullptr) endpoint_table::record_end(*call.replacement);
         if (call.endpoint == nullptr) return;
         call.on_prompt_processed();
         endpoint_table::record_end(*std::exchange(call.endpoint, nullptr));
@@ -105,32 +106,47 @@
         if (call.connection != nullptr) call.connection->close();
         if (call.wait_timer != nullptr) call.wait_timer->cancel();
     });
-    co_await run(call);
+    try {
+        co_await run(call);
+    } catch (std::exception const& problem) {
+        log_incomplete(call, problem.what());
+        throw;
+    }
+    if (out.progress() != answer_progress::complete && !call.caller_disconnected)
+        log_incomplete(call, out.failure());
 }
 
 // Finds route, account and service in the newest configuration. A call that waits is looked up again, so that
-// no call is handled by an older configuration once a newer one has been used.
+// no call is handled by an older configuration once a newer one has been used. If that fails, the call ends
+// with its earlier match, which the log names.
 auto call_relay::look_up(relayed_call& call) -> result<void>
 {
-    call.map = declared_state_.map();
-    if (call.map == nullptr)
+    auto match = route_match{};
+    auto found = find_match(call, match);
+    if (found || call.map == nullptr) static_cast<route_match&>(call) = std::move(match);
+    return found;
+}
+
+auto call_relay::find_match(relayed_call const& call, route_match& match) -> result<void>
+{
+    match.map = declared_state_.map();
+    if (match.map == nullptr)
         return fail(result_code::configuration_missing,
                     "this entry has received no configuration yet; the call was not run");
-    call.route = call.map->route(call.request.headers.find("Host"), call.request.path());
-    if (call.route == nullptr)
+    match.route = match.map->route(call.request.headers.find("Host"), call.request.path());
+    if (match.route == nullptr)
         return fail(result_code::unknown_service, "no route matches this host and path");
-    call.account = nullptr;
-    if (call.route->requires_key && call.map->has_accounts()) {
-        call.account = call.map->account_of_key(call.fields.key);
-        if (call.account == nullptr)
+    if (match.route->requires_key && match.map->has_accounts()) {
+        match.account = match.map->account_of_key(call.fields.key);
+        if (match.account == nullptr)
             return fail(result_code::unknown_account, "no client account has this key");
     }
-    return choose_service(call);
+    return choose_service(match);
 }
 
-auto call_relay::choose_service(relayed_call& call) -> result<void>
+auto call_relay::choose_service(route_match& match) -> result<void>
 {
-    auto const& services = call.route->services;
+    auto const& services = match.route->services;
     auto sum = 0.0;
     for (auto const& each : services)
         sum += each.weight;
@@ -143,8 +159,8 @@
         }
         remaining -= each.weight;
     }
-    call.service = call.map->service(chosen->name);
-    if (call.service == nullptr)
+    match.service = match.map->service(chosen->name);
+    if (match.service == nullptr)
         return fail(result_code::no_endpoint,
                     "the route names service " + chosen->name + ", which is not in the configuration");
     return success();
@@ -178,7 +194,9 @@
             if (auto found = look_up(call); !found)
                 co_return co_await end_unroutable_call(call, found.error());
         }
-        auto const decision = co_await select_endpoint(call);
+        auto const is_replaced = take_replacement(call);
+        auto decision = placement{placed{call.endpoint}};
+        if (!is_replaced) decision = co_await select_endpoint(call);
         if (call.caller_disconnected) break;
         if (auto const* rejection = std::get_if<rejected>(&decision)) {
             auto const reason = reason_text(rejection->reason);
@@ -188,7 +206,8 @@
                                                  rejection->retry_after);
         }
         if (call.endpoint == nullptr) reserve_slot(call, std::get<placed>(decision).endpoint);
-        if (call.send_count > 0 && !retry_budget_for(call.service->name).try_spend(clock::now())) {
+        auto const needs_retry = call.send_count > 0 && !is_replaced;
+        if (needs_retry && !retry_budget_for(call.service->name).try_spend(clock::now())) {
             release_slot(call);
             co_return co_await end_without_retry(
                 call, result_code::retry_budget_exhausted,
@@ -197,6 +216,7 @@
         }
         auto const endpoint = call.endpoint;
         auto outcome = co_await send(call);
+        stop_seeking_replacement(call);
         release_slot(call);
         call.tried_endpoints.insert(endpoint->record.id);
         if (call.caller_disconnected) break;
@@ -204,7 +224,7 @@
         if (co_await handle_outcome(call, std::move(outcome))) co_return;
     }
     release_slot(call);
-    record_end(call, "caller_left", 0, "");
+    record_end(call, "caller_left", 0, call.out.failure());
 }
 
 // Updates the endpoint's failure statistics with the outcome of a send.
@@ -337,30 +357,14 @@
         budget.set_entries(entries);
 }
 
-// A stream is moved only if another engine has a free slot for it now.
-auto call_relay::may_move(relayed_call& call, time_point now) -> bool
-{
-    if (call.moved || !should_move(call, settings_.stalls, now)) return false;
-    auto const decision = next_endpoint(call);
-    return std::holds_alternative<placed>(decision);
-}
-
 auto call_relay::run_maintenance() -> asio::awaitable<void>
 {
     auto last_expiry = clock::now();
     while (true) {
         co_await sleep_for(maintenance_interval);
         auto const now = clock::now();
-        for (auto* call : active_) {
-            if (has_stalled(*call, settings_.stalls, now)) {
-                call->closed_as_stalled = true;
-                call->connection->close();
-            }
-            if (may_move(*call, now)) {
-                call->moved = true;
-                call->connection->close();
-            }
-        }
+        for (auto* call : active_)
+            check_progress(*call, now);
         endpoints_.update_assignment();
         dispatch_waiting();
         update_shedders(now);
@@ -372,37 +376,4 @@
     }
 }
 
-auto call_relay::record_end(relayed_call const& call, std::string_view outcome, int status,
-                            std::string_view reason) -> void
-{
-    auto const now = clock::now();
-    auto const duration = std::chrono::duration<double>(now - call.arrived_at).count();
-    auto const service = call.service == nullptr ? std::string_view{"none"} : call.service->name;
-    metrics_registry_.count("calls", {{"service", service}, {"outcome", outcome}});
-    metrics_registry_.observe("call_seconds", {{"service", service}}, duration);
-    auto const has_events = call.first_event_at != time_point{};
-    if (has_events)
-        metrics_registry_.observe(
-            "first_event_seconds", {{"service", service}},
-            std::chrono::duration<double>(call.first_event_at - call.arrived_at).count());
-    log_event(log_level::info, "call_ended",
-              {{"call", call.fields.call_id},
-               {"route", call.route == nullptr ? "none" : call.route->name},
-               {"account", call.account == nullptr ? "none" : call.account->name},
-               {"outcome", std::string{outcome}},
-               {"status", std::to_string(status)},
-               {"reason", reason.empty() ? "none" : std::string{reason}},
-               {"shed", call.shed ? "1" : "0"},
-               {"waited_ms", std::to_string(call.wait_duration.count())},
-               {"sends", std::to_string(call.send_count)},
-               {"runs", std::to_string(call.run_count)},
-               {"endpoints", std::to_string(call.tried_endpoints.size())},
-               {"last_endpoint", call.tried_endpoints.empty() ? "none" : *call.tried_endpoints.rbegin()},
-               {"first_ms", has_events ? ms_text(call.first_event_at - call.arrived_at) : "none"},
-               {"longest_gap_ms", ms_text(call.max_event_gap)},
-               {"unread_ms", ms_text(call.read_at - call.arrived_at)},
-               {"total_ms", ms_text(now - call.arrived_at)},
-               {"config_version", call.map == nullptr ? "none" : std::to_string(call.map->version())}});
-}
-
 } // namespace hibiscuswall
