--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -71,6 +71,16 @@
     CHECK_EQUAL(2, status_of("s").crashes);
 }
 
+// Guards against one crash that raises itself because its evidence arrives in parts.
+TEST(prompt_suspicion, a_mark_does_not_raise_the_generation_of_a_mark_of_the_same_run)
+{
+    auto const first = crash_suspect{call_with({"s"}), {}};
+    auto const second = crash_suspect{call_with({"s"}), {1}};
+    entry.record_crash(7, {&first, 1}, now);
+    CHECK_FALSE(entry.record_crash(7, {&second, 1}, now));
+    CHECK_EQUAL(1, status_of("s").generation);
+}
+
 // Guards against segments that most calls share becoming suspect by being in every crash.
 TEST(prompt_suspicion, a_segment_that_other_calls_share_is_cleared_by_the_next_response)
 {
@@ -163,6 +173,19 @@
     CHECK(is_rejected(call_with({"bad"})));
 }
 
+// Guards against evidence that expires in part, after which a crashing segment and a sound one look alike.
+TEST(prompt_quarantine_groups, a_quarantined_segment_keeps_its_marks_of_lower_generations)
+{
+    auto const sent_early = crash_suspect{call_with({"bad"}), {}};
+    crash(entry, call_with({"bad", "sound"}));
+    entry.record_crash(++last_run, {&sent_early, 1}, now);
+    crash_times(2, call_with({"bad", "sound"}));
+    now += settings.suspicion_lifetime;
+    entry.remove_expired(now);
+    CHECK(state_of("sound") == segment_state::explained);
+    CHECK(is_rejected(call_with({"bad"})));
+}
+
 // Guards against a sound segment that is rejected because the crashing one was on trial less often.
 TEST(prompt_quarantine_groups, a_segment_is_explained_by_one_of_a_lower_generation_in_more_crashes)
 {
