Resume a stream only with events that continue it

What callers saw: a stream broke off after two events and its second endpoint responded with something other than the following events. The caller got the text of an error in the middle of its stream ("out of memory" after event 2), events 1 and 2 twice, or a stream that ended as complete after event 2 of 5 (second response 204, an empty body, chunks without an event). A stream without ids started again from its first event.

Cause: after a stream had begun, any 200 with a signature counted as its continuation, and any other success was relayed as events once it had arrived. Neither the content type nor the ids of its events were looked at, and a response without events counted as a proper end.

Why it works: only status 200 of the type text/event-stream (or of none) is read as events; everything else is read to its end and can no longer be mixed into a stream. The first event of a response that continues a stream needs an id above that of the last one, and a response that continues a stream needs an event. A stream whose last event has no id is not resumed. Gaps between ids are not judged: ids increase, but nothing says that they are consecutive.

--- a/include/hibiscuswall/serving/endpoint_response_parser.hpp
+++ b/include/hibiscuswall/serving/endpoint_response_parser.hpp
@@ -59,6 +59,9 @@
     // Whether the connection can carry another request after a complete response.
     [[nodiscard]] auto allows_reuse() const -> bool;
 
+    // Whether the body has neither a length nor chunks, so that it ends with the connection.
+    [[nodiscard]] auto ends_with_connection() const -> bool;
+
     // Whether any byte of a response has arrived.
     [[nodiscard]] auto has_received_bytes() const -> bool;
 
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -105,10 +105,14 @@
         endpoint->unprocessed_prompt_tokens -= std::exchange(unprocessed_prompt_tokens, 0);
     }
 
-    [[nodiscard]] auto may_run_again() const -> bool
+    // Whether the call may run once more after this number of runs. Events that have reached the caller must
+    // be continued, not repeated.
+    [[nodiscard]] auto may_run_after(int runs) const -> bool
     {
-        return route->is_retryable() && run_count < route->max_attempts;
+        if (response_started && !events.can_resume()) return false;
+        return route->is_retryable() && runs < route->max_attempts;
     }
+    [[nodiscard]] auto may_run_again() const -> bool { return may_run_after(run_count); }
     [[nodiscard]] auto is_stream() const -> bool { return route->kind == call_kind::stream; }
 };
 
--- a/src/serving/endpoint_response_parser.cpp
+++ b/src/serving/endpoint_response_parser.cpp
@@ -146,6 +146,10 @@
     return state_ == response_state::complete ? pending_.size() : 0;
 }
 auto endpoint_response_parser::allows_reuse() const -> bool { return message_->keep_alive(); }
+auto endpoint_response_parser::ends_with_connection() const -> bool
+{
+    return has_head() && message_->need_eof();
+}
 auto endpoint_response_parser::has_received_bytes() const -> bool { return begun_; }
 
 } // namespace hibiscuswall
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -95,6 +95,19 @@
     call.last_event_at = now;
 }
 
+auto names_call(relayed_call const& call, endpoint_response_parser const& parser) -> bool
+{
+    return platform::decode_response(parser.status(), parser.headers()).call_id == call.fields.call_id;
+}
+
+// Whether the response is a stream of events. Any other response, such as an error that an endpoint sends in
+// place of the events, is read to its end first.
+auto has_events(relayed_call const& call, endpoint_response_parser const& parser) -> bool
+{
+    return call.is_stream() && parser.has_head() && parser.status() == 200 &&
+           platform::decode_response(parser.status(), parser.headers()).has_events;
+}
+
 } // namespace
 
 auto call_relay::send(relayed_call& call) -> asio::awaitable<send_outcome>
@@ -158,10 +171,7 @@
     auto const connection = call.connection;
     while (true) {
         while (parser.state() != response_state::complete && parser.state() != response_state::invalid) {
-            auto const matches_call =
-                parser.has_head() &&
-                platform::decode_response(parser.status(), parser.headers()).call_id == call.fields.call_id;
-            if (matches_call && parser.status() == 200 && call.is_stream())
+            if (has_events(call, parser) && names_call(call, parser))
                 co_return co_await relay_events(call, parser);
             auto const bytes = co_await connection->receive(call.deadline);
             if (bytes.empty()) {
@@ -194,7 +204,7 @@
     }
     auto const success = parser.status() >= 200 && parser.status() < 300;
     if (success && !fields.signed_response) co_return send_failed{"response has no endpoint signature"};
-    if (success && call.is_stream()) co_return co_await relay_events(call, parser);
+    if (has_events(call, parser)) co_return co_await relay_events(call, parser);
     auto response =
         send_responded{parser.status(), platform::relayed_headers(parser.headers()), parser.take_body()};
     return_connection(call, parser);
@@ -217,7 +227,9 @@
     auto const fields = platform::decode_response(parser.status(), parser.headers());
     record_announcements(*call.endpoint, fields, clock::now());
     if (!fields.signed_response) co_return send_failed{"response has no endpoint signature"};
-    call.events.discard_partial_event();
+    call.events.begin_response();
+    auto const is_resumed = call.response_started;
+    auto const events_of_earlier_responses = call.events.count();
     auto const fail_stream = [&](std::string reason) -> send_outcome {
         if (call.response_started) return send_interrupted{std::move(reason)};
         return send_failed{std::move(reason)};
@@ -232,6 +244,7 @@
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
             if (!co_await call.out.write(complete_events)) co_return fail_stream("caller disconnected");
         }
+        if (!call.events.continues()) co_return fail_stream("events do not continue the stream");
         if (parser.state() == response_state::invalid) co_return fail_stream("response is not valid HTTP");
         if (parser.state() == response_state::complete) break;
         auto const bytes = co_await connection->receive(call.deadline);
@@ -245,6 +258,10 @@
         parser.feed(bytes);
     }
     if (call.events.pending() > 0) co_return fail_stream("stream ended within an event");
+    // An endpoint that stopped after the header looks the same.
+    auto const has_no_events = call.events.count() == events_of_earlier_responses;
+    if (has_no_events && (is_resumed || parser.ends_with_connection()))
+        co_return fail_stream("stream ended without an event");
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
     return_connection(call, parser);
     co_await call.out.finish();
--- a/src/serving/stall_detection.cpp
+++ b/src/serving/stall_detection.cpp
@@ -5,7 +5,7 @@
 auto should_move(relayed_call const& call, stall_settings const& settings, time_point now) -> bool
 {
     if (call.connection == nullptr || call.endpoint == nullptr || !call.is_stream()) return false;
-    if (!call.route->is_retryable() || call.run_count + 1 >= call.route->max_attempts) return false;
+    if (!call.may_run_after(call.run_count + 1)) return false;
     auto const& endpoint = *call.endpoint;
     return endpoint.news && endpoint.news->paused && now - endpoint.paused_at > settings.move_delay;
 }
@@ -14,7 +14,7 @@
 {
     if (call.connection == nullptr || call.endpoint == nullptr) return false;
     // The current send counts as a run once it is closed as stalled, and another run must still be allowed.
-    if (!call.route->is_retryable() || call.run_count + 1 >= call.route->max_attempts) return false;
+    if (!call.may_run_after(call.run_count + 1)) return false;
     auto const stalled_for = now - std::max(call.sent_at, call.last_progress_at);
     if (!call.is_stream()) return stalled_for > settings.plain_response_timeout;
     auto const& endpoint = *call.endpoint;
--- a/tests/support/direct_entry_base.hpp
+++ b/tests/support/direct_entry_base.hpp
@@ -160,15 +160,29 @@
         await_ready();
     }
 
-    auto ask(std::string const& path, std::string const& method = "GET", std::string const& key = "k1")
-        ->http_response
+    // The request of the next call, with an id of its own.
+    auto next_request(std::string const& path, std::string const& method = "GET",
+                      std::string const& key = "k1")
+        ->http_request
     {
         auto request = http_request{method, path, {}, method == "POST" ? "{}" : ""};
         request.headers.set("Host", "a.example");
         request.headers.set("X-Hibiscuswall-Attempt-Id", "call-" + std::to_string(++calls));
         request.headers.set("X-Hibiscuswall-Deadline-Ms", "1500");
         if (!key.empty()) request.headers.set("X-Hibiscuswall-Key", key);
-        return call(callers, std::move(request));
+        return request;
+    }
+
+    auto ask(std::string const& path, std::string const& method = "GET", std::string const& key = "k1")
+        ->http_response
+    {
+        return call(callers, next_request(path, method, key));
+    }
+
+    // Like ask(), but returns what arrived of a truncated response.
+    auto ask_partial(std::string const& path, std::string const& method = "GET")->partial_response
+    {
+        return call_and_keep_partial(callers, next_request(path, method));
     }
 };
 
--- a/tests/support/http_caller.cpp
+++ b/tests/support/http_caller.cpp
@@ -46,6 +46,27 @@
     return {0, {}, answer.error().message};
 }
 
+auto call_and_keep_partial(address const& where, http_request request, milliseconds timeout)
+    -> partial_response
+{
+    auto io = asio::io_context{};
+    auto client = http_client{io, nullptr};
+    auto options = http_call_options{};
+    options.timeout = timeout;
+    auto opened = run_coroutine(io, client.open(where, std::move(request), options));
+    if (!opened) return {};
+    auto& stream = *opened.value();
+    auto response = partial_response{stream.status(), stream.headers(), {}, false};
+    while (true) {
+        auto piece = run_coroutine(io, stream.read());
+        if (!piece) return response;
+        if (!piece.value()) break;
+        response.body += *piece.value();
+    }
+    response.complete = true;
+    return response;
+}
+
 auto call_json(address const& where, std::string method, std::string target, nlohmann::json const& body)
     -> nlohmann::json
 {
--- a/tests/support/http_caller.hpp
+++ b/tests/support/http_caller.hpp
@@ -15,6 +15,17 @@
 auto call(address const& where, http_request request, milliseconds timeout = milliseconds{5'000})
     -> http_response;
 
+// A response as far as it arrived.
+struct partial_response {
+    int status = 0; // 0: no header
+    http_headers headers;
+    std::string body;
+    bool complete = false; // the length or the last chunk was reached
+};
+
+auto call_and_keep_partial(address const& where, http_request request,
+                           milliseconds timeout = milliseconds{5'000}) -> partial_response;
+
 auto call_json(address const& where, std::string method, std::string target,
                nlohmann::json const& body = nullptr) -> nlohmann::json;
 
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -44,6 +44,14 @@
     return true;
 }
 
+// Resets the connection without closing the descriptor, whose number would be given to another connection.
+auto reset_connection(int socket) -> void
+{
+    auto nowhere = sockaddr{};
+    nowhere.sa_family = AF_UNSPEC;
+    ::connect(socket, &nowhere, sizeof nowhere);
+}
+
 } // namespace
 
 scripted_endpoint::scripted_endpoint(respond_function respond)
@@ -84,6 +92,12 @@
     return requests_;
 }
 
+auto scripted_endpoint::connections() -> std::size_t
+{
+    auto const guard = std::lock_guard{lock_};
+    return open_.size();
+}
+
 auto scripted_endpoint::accept_loop() -> void
 {
     while (!stopping_) {
@@ -132,6 +146,11 @@
         std::this_thread::sleep_for(response.delay);
         ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
         if (!response.repeated.empty()) return send_repeatedly(socket, response);
+        if (!response.late_bytes.empty()) {
+            std::this_thread::sleep_for(response.late_delay);
+            ::send(socket, response.late_bytes.data(), response.late_bytes.size(), MSG_NOSIGNAL);
+        }
+        if (response.reset) return reset_connection(socket);
         if (!response.close) continue;
         ::shutdown(socket, SHUT_RDWR);
         return;
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -36,6 +36,9 @@
     milliseconds delay{0};           // wait before sending the bytes
     std::string repeated{};          // then sent again and again until the other side closes; empty: nothing
     milliseconds repeat_interval{0}; // between two of them
+    std::string late_bytes{};        // sent once, late_delay after the bytes
+    milliseconds late_delay{0};
+    bool reset = false; // reset the connection after the bytes
 };
 
 class scripted_endpoint {
@@ -50,6 +53,9 @@
     [[nodiscard]] auto where() const -> address const& { return where_; }
     [[nodiscard]] auto requests() -> std::vector<scripted_request>;
 
+    // Number of connections accepted.
+    [[nodiscard]] auto connections() -> std::size_t;
+
     // Number of connections closed by the other side.
     [[nodiscard]] auto closed() const -> int { return closed_; }
 
--- a/tests/unit/endpoint_response_parser_test.cpp
+++ b/tests/unit/endpoint_response_parser_test.cpp
@@ -151,7 +151,34 @@
 {
     STRCMP_EQUAL("id: 4\n\n", splitter.feed("id: 4\n\nid: 5\nda").c_str());
     CHECK_EQUAL(8U, splitter.pending());
-    splitter.discard_partial_event();
+    splitter.begin_response();
     STRCMP_EQUAL("id: 5\n\n", splitter.feed("id: 5\n\n").c_str());
     STRCMP_EQUAL("5", splitter.last_id()->c_str());
 }
+
+// Guards against events of a resumed stream that the caller gets twice.
+TEST(event_splitter, a_response_that_continues_the_stream_begins_above_its_last_id)
+{
+    splitter.feed("id: 9\ndata: a\n\n");
+    for (auto const* first : {"id: 9\n\n", "id: 1\n\n", "data: b\n\n"}) {
+        splitter.begin_response();
+        STRCMP_EQUAL(": comment\n\n", splitter.feed(": comment\n\n" + std::string{first}).c_str());
+        CHECK_FALSE(splitter.continues());
+        STRCMP_EQUAL("", splitter.feed("id: 10\n\n").c_str());
+        STRCMP_EQUAL("9", splitter.last_id()->c_str());
+    }
+    splitter.begin_response();
+    STRCMP_EQUAL("id: 10\n\ndata: c\n\n", splitter.feed("id: 10\n\ndata: c\n\n").c_str());
+    CHECK(splitter.continues());
+}
+
+TEST(event_splitter, a_stream_can_be_resumed_only_after_an_event_with_an_id)
+{
+    CHECK(splitter.can_resume());
+    splitter.feed(": comment\n\n");
+    CHECK(splitter.can_resume());
+    splitter.feed("data: a\n\n");
+    CHECK_FALSE(splitter.can_resume());
+    splitter.feed("id: 1\n\n");
+    CHECK(splitter.can_resume());
+}
