Take "not run" only from a response that belongs to the call

What callers saw: 503 ("not run, never will be") for a call that the endpoint was running, when a rejection without a call id stood before the real response on a connection that had carried another call. With a second endpoint the call was sent there without counting as a run. A signed success without an id reached the caller of the next call, and a call that may run once got 503 although its real response followed in the same packet.

Cause: a response without a call id was taken for the response to the current call on any connection.

Why it works: without an id, a response belongs to the call only if it is the only one on a connection that carried nothing else, because then the call is the only request it can answer. Otherwise the send counts as one that may have run. A call without an id gets a new connection. A success that states "not run" contradicts itself and is neither delivered nor taken for a promise. Not told apart: a rejection without an id on a new connection whose real response follows in a later packet.

--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -104,8 +104,9 @@
 // place of the events, is read to its end first.
 auto has_events(relayed_call const& call, endpoint_response_parser const& parser) -> bool
 {
-    return call.is_stream() && parser.has_head() && parser.status() == 200 &&
-           platform::decode_response(parser.status(), parser.headers()).has_events;
+    if (!call.is_stream() || !parser.has_head() || parser.status() != 200) return false;
+    auto const fields = platform::decode_response(parser.status(), parser.headers());
+    return fields.has_events && !fields.not_executed;
 }
 
 } // namespace
@@ -115,9 +116,10 @@
     auto const now = clock::now();
     auto const record = call.endpoint->record;
     // The endpoint may close a pooled connection just as a call is sent on it, and then it is unknown whether
-    // the call ran. Only retryable calls use pooled connections.
+    // the call ran. Only retryable calls use pooled connections, and only with an id: without one, their
+    // response could not be told from a late one.
     auto connection = endpoint_connection_ptr{};
-    if (call.route->is_retryable()) connection = pool_.take(record.id, now);
+    if (call.route->is_retryable() && !call.fields.call_id.empty()) connection = pool_.take(record.id, now);
     if (connection == nullptr) {
         auto const timeout = std::min(settings_.connect_timeout,
                                       std::chrono::duration_cast<milliseconds>(call.deadline - now));
@@ -169,6 +171,7 @@
     -> asio::awaitable<send_outcome>
 {
     auto const connection = call.connection;
+    auto is_first_response = !connection->is_reused();
     while (true) {
         while (parser.state() != response_state::complete && parser.state() != response_state::invalid) {
             if (has_events(call, parser) && names_call(call, parser))
@@ -192,17 +195,27 @@
         if (parser.state() == response_state::invalid) co_return send_failed{"response is not valid HTTP"};
         auto const fields = platform::decode_response(parser.status(), parser.headers());
         record_announcements(*call.endpoint, fields, clock::now());
-        if (fields.call_id.empty() || fields.call_id == call.fields.call_id) break;
+        if (fields.call_id.empty()) {
+            // It belongs to the call if it is the only response on its connection. Else it may be a late one,
+            // and the endpoint may be running the call.
+            if (is_first_response && parser.excess_bytes() == 0) break;
+            metrics_registry_.count("responses_without_call");
+            co_return send_failed{"response without a call id on a connection with other responses"};
+        }
+        if (fields.call_id == call.fields.call_id) break;
         // Skip a late response to another call that precedes the expected one.
         metrics_registry_.count("answers_of_other_calls");
         parser.restart();
+        is_first_response = false;
     }
     auto const fields = platform::decode_response(parser.status(), parser.headers());
+    auto const success = parser.status() >= 200 && parser.status() < 300;
+    if (success && fields.not_executed)
+        co_return send_failed{"a success that states that the call did not run"};
     if (fields.not_executed || fields.wrong_endpoint) {
         return_connection(call, parser);
         co_return send_rejected{parser.status()};
     }
-    auto const success = parser.status() >= 200 && parser.status() < 300;
     if (success && !fields.signed_response) co_return send_failed{"response has no endpoint signature"};
     if (has_events(call, parser)) co_return co_await relay_events(call, parser);
     auto response =
