Take an empty line after an event for no partial event

Found by a unit test, not by a caller.

Evidence: event_splitter.empty_lines_between_events_are_no_partial_event failed before: expected "id: 1" with a further empty line, but was without it.

Why it works: what is left always begins at a line, so a line break there ends an empty line.

With them come tests of both at each byte: responses with a length, chunks, neither and of HTTP/1.0, closed and reset, passed at once; streams cut and split at each byte, passed at once; contradictory lengths, statuses without a body, and which responses allow that the connection is used again, passed at once.

--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -9,13 +9,14 @@
 
 constexpr auto id_field = std::string_view{"id:"};
 
-// Returns the position after the last empty line, or 0 if there is none. Lines end in "\n" or "\r\n".
+// Returns the position after the last empty line, or 0 if there is none. Lines end in "\n" or "\r\n". The
+// bytes begin at a line, which may be empty, too.
 auto end_of_complete_events(std::string_view bytes, std::size_t from) -> std::size_t
 {
     auto end = std::size_t{0};
     for (auto at = bytes.find('\n', from); at != std::string_view::npos; at = bytes.find('\n', at + 1)) {
         auto const before = at > 0 && bytes[at - 1] == '\r' ? at - 1 : at;
-        if (before > 0 && bytes[before - 1] == '\n') end = at + 1;
+        if (before == 0 || bytes[before - 1] == '\n') end = at + 1;
     }
     return end;
 }
--- a/tests/unit/endpoint_response_parser_test.cpp
+++ b/tests/unit/endpoint_response_parser_test.cpp
@@ -4,6 +4,7 @@
 #include "hibiscuswall/serving/endpoint_response_parser.hpp"
 #include "hibiscuswall/serving/event_splitter.hpp"
 
+#include <algorithm>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -95,6 +96,54 @@
     STRCMP_EQUAL("no", parser.take_body().c_str());
 }
 
+// Each kind of framing, cut at each byte, closed and reset: a response without a length is complete at any
+// byte of its body if it is closed, every other one with its last byte only.
+TEST(endpoint_response_parser, a_response_cut_at_any_byte_is_complete_only_if_its_framing_says_so)
+{
+    auto const header = std::string{"HTTP/1.1 200 OK\r\nX-Call: a\r\n"};
+    struct {
+        std::string bytes;
+        std::size_t first_complete_when_closed;
+        bool complete_when_reset;
+    } const cases[] = {
+        {header + "Content-Length: 5\r\n\r\nhello", header.size() + 26, true},
+        {header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", header.size() + 45, true},
+        {header + "\r\nhello", header.size() + 2, false},
+        {header + "Connection: close\r\n\r\nhello", header.size() + 21, false},
+        {"HTTP/1.0 200 OK\r\n\r\nhello", 19, false},
+        {"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello", 43, true},
+    };
+    for (auto const& each : cases) {
+        for (auto size = std::size_t{0}; size <= each.bytes.size(); ++size) {
+            auto const prefix = std::string_view{each.bytes}.substr(0, size);
+            auto const is_whole = size == each.bytes.size();
+            auto const closed = parse_in_random_chunks(prefix, true, size + 1);
+            auto const reset = parse_in_random_chunks(prefix, false, size + 1);
+            CHECK_TEXT((closed.state == response_state::complete) ==
+                           (size >= each.first_complete_when_closed),
+                       std::string{prefix}.c_str());
+            CHECK_TEXT((reset.state == response_state::complete) == (is_whole && each.complete_when_reset),
+                       std::string{prefix}.c_str());
+        }
+    }
+}
+
+// Guards against a status without a body that is read until the connection ends.
+TEST(endpoint_response_parser, a_status_without_a_body_is_complete_with_its_header)
+{
+    check("HTTP/1.1 204 No Content\r\n\r\n", false, response_state::complete, "");
+    check("HTTP/1.1 304 Not Modified\r\n\r\n", false, response_state::complete, "");
+}
+
+TEST(endpoint_response_parser, contradictory_lengths_are_invalid)
+{
+    check("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello", true,
+          response_state::invalid, "");
+    check("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello", true,
+          response_state::invalid, "");
+    check("HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello", true, response_state::invalid, "");
+}
+
 TEST(endpoint_response_parser, interim_responses_are_skipped)
 {
     check("HTTP/1.1 100 Continue\r\n\r\n" + std::string{sized}, false, response_state::complete, "hello");
@@ -120,6 +169,14 @@
     auto closing = endpoint_response_parser{false};
     closing.feed("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     CHECK_FALSE(closing.allows_reuse());
+    for (auto const bytes : {"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"}) {
+        auto ends = endpoint_response_parser{false};
+        ends.feed(bytes);
+        CHECK_FALSE(ends.allows_reuse());
+    }
+    auto kept = endpoint_response_parser{false};
+    kept.feed("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n");
+    CHECK(kept.allows_reuse());
 }
 
 // ---- events
@@ -156,6 +213,39 @@
     STRCMP_EQUAL("5", splitter.last_id()->c_str());
 }
 
+// A stream without a length that is closed is complete if no event is pending.
+TEST(event_splitter, a_stream_cut_at_any_byte_is_complete_only_between_events)
+{
+    auto const events = std::string{"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n"};
+    auto const ends = std::vector<std::size_t>{0, 15, 33, events.size()};
+    for (auto size = std::size_t{0}; size <= events.size(); ++size) {
+        for (auto split = std::size_t{0}; split <= size; ++split) {
+            auto each = event_splitter{};
+            auto out = each.feed(events.substr(0, split));
+            out += each.feed(events.substr(split, size - split));
+            auto const is_between = std::find(ends.begin(), ends.end(), size) != ends.end();
+            CHECK_TEXT((each.pending() == 0) == is_between, out.c_str());
+            CHECK_EQUAL(size, out.size() + each.pending());
+            CHECK(std::find(ends.begin(), ends.end(), out.size()) != ends.end());
+        }
+    }
+}
+
+// Guards against a complete stream that counts as cut because of a further empty line.
+TEST(event_splitter, empty_lines_between_events_are_no_partial_event)
+{
+    for (auto const* lines : {"\n", "\r\n", "\n\r\n\n"}) {
+        auto each = event_splitter{};
+        auto const bytes = "id: 1\n\n" + std::string{lines};
+        auto out = std::string{};
+        for (auto const byte : bytes)
+            out += each.feed({&byte, 1});
+        STRCMP_EQUAL(bytes.c_str(), out.c_str());
+        CHECK_EQUAL(0U, each.pending());
+        CHECK_EQUAL(1U, each.count());
+    }
+}
+
 // Guards against events of a resumed stream that the caller gets twice.
 TEST(event_splitter, a_response_that_continues_the_stream_begins_above_its_last_id)
 {
