Accept answers of engines and weight sources that end with their connection

What would be seen: an engine or a weight source whose answers have neither a length nor chunks, which the protocol allows, cannot be used: the agent refuses its reports, its answers to load orders, its staged chunks, manifests and chunks at their header.

Cause: the HTTP client refuses each answer without a length, because a process that ends in the middle may close the connection as if the answer were whole. That stays right between the processes of this system.

Why it works: the new option may_end_with_connection is set where a cut body cannot pass for a whole one: a proper prefix of a JSON report, manifest or list is no JSON (tested for each byte), a chunk has a size and a digest, and of an order only the status is read. A reset is an error with the option, too. The connection is not used again, and the size limit holds.

Not run: an agent beside an engine that answers so.

--- a/include/hibiscuswall/http/http_client.hpp
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -11,7 +11,10 @@
 //       if (!piece.value()) break;          // whole
 //   }
 //
-// An answer without a length or chunked coding is refused as malformed: its end could not be told from a cut.
+// An answer without a length or chunked coding is refused as malformed, because a process that ends in the
+// middle of it may close the connection as if it were whole. With http_call_options::may_end_with_connection
+// it is whole if the connection is closed, and an error if it is reset; the caller must recognise a cut body
+// by itself.
 
 #include "hibiscuswall/core/address.hpp"
 #include "hibiscuswall/core/result.hpp"
@@ -40,6 +43,8 @@
                                          // whether the request was received
     bool keep_connection = true;         // for later calls; false: closed after the answer
     std::string_view purpose = "data";   // whose bytes these are, see traffic(); "data": requests and weights
+    bool may_end_with_connection = false; // accept a body without a length, for texts and chunks whose cut is
+                                          // recognised by their syntax or digest
 };
 
 // Bytes of HTTP messages with headers, without TCP and IP headers.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -201,7 +201,7 @@
             headers_.set(std::string_view{field.name_string()}, std::string_view{field.value()});
         if (client_->events != nullptr && headers_.contains("Hw-Clock"))
             client_->events->observe(static_cast<std::uint64_t>(headers_.number("Hw-Clock", 0)));
-        if (!parser_.is_done() && parser_.need_eof())
+        if (!options_.may_end_with_connection && !parser_.is_done() && parser_.need_eof())
             co_return make_error_code(http::error::bad_content_length);
         co_return code;
     }
--- a/src/platform/weight_source_client.cpp
+++ b/src/platform/weight_source_client.cpp
@@ -95,6 +95,7 @@
     // The source accepts few connections from all hosts together: idle connections of many hosts would block
     // active fetches.
     options.keep_connection = false;
+    options.may_end_with_connection = true; // a cut manifest is not valid JSON, and chunks have digests
     for (auto const i : by_preference(clock::now())) {
         if (sources_[i].unavailable_until > clock::now()) continue;
         auto opened = co_await client_.open(sources_[i].where, request, options);
--- a/src/weights/engine_stage.cpp
+++ b/src/weights/engine_stage.cpp
@@ -13,6 +13,7 @@
     options.connect_timeout = stage_timeout;
     options.timeout = stage_timeout;
     options.purpose = "stage";
+    options.may_end_with_connection = true; // a cut list is not valid JSON, and chunks have digests
     return options;
 }
 
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -103,6 +103,7 @@
     options.timeout = report_timeout;
     options.purpose = "report";
     options.body_limit = max_report_bytes;
+    options.may_end_with_connection = true; // a cut report is not valid JSON
     auto response = co_await context_.client.fetch(settings_.engine, platform::report_request(), options);
     if (!response || response.value().status != 200) co_return false;
     engine_leaving_ = platform::is_leaving(response.value().headers);
@@ -345,6 +346,7 @@
     options.timeout = order_timeout;
     options.fresh_connection = true;
     options.purpose = "order";
+    options.may_end_with_connection = true; // only the status is read
     auto response =
         co_await context_.client.fetch(settings_.engine, platform::load_request(command), options);
     auto const outcome =
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -165,6 +165,25 @@
     CHECK(platform::decode_endpoint("servers/i-1", huge).error().message.size() < 300);
 }
 
+// A response without a length that is cut looks complete to the HTTP client, so the decoders must notice.
+TEST(endpoint_records, every_proper_prefix_of_a_report_a_manifest_and_a_list_is_rejected)
+{
+    auto const report = std::string{R"({"busy":false,"sequence":2,"queued":1,"running":12,"kvUsed":41000,)"
+                                    R"("kvTotal":90000,"models":[{"name":"m","version":1}]})"};
+    auto const listed = std::string{R"({"held":[0,1,12]})"};
+    auto const manifest =
+        R"({"model":"m","version":2,"chunkBytes":8,"digests":[")" + std::string(64, 'a') + R"("]})";
+    CHECK(platform::decode_report(report).has_value());
+    CHECK(platform::decode_staged_list(listed, 64).has_value());
+    CHECK(platform::decode_manifest(manifest).has_value());
+    for (auto size = std::size_t{0}; size < report.size(); ++size)
+        CHECK_FALSE(platform::decode_report(report.substr(0, size)).has_value());
+    for (auto size = std::size_t{0}; size < listed.size(); ++size)
+        CHECK_FALSE(platform::decode_staged_list(listed.substr(0, size), 64).has_value());
+    for (auto size = std::size_t{0}; size < manifest.size(); ++size)
+        CHECK_FALSE(platform::decode_manifest(manifest.substr(0, size)).has_value());
+}
+
 TEST(endpoint_records, changed_bytes_do_not_crash_the_decoders)
 {
     auto random = random_source{5};
