Send no body to a HEAD request

What callers would see: on a kept connection, the body of an error answer to a HEAD request, and the chunks of a stream, stand where the next answer is due.

Cause: the HTTP server wrote every answer with its body, whatever the method was.

Evidence: http.an_answer_to_a_head_request_has_no_body failed before: expected "HTTP/1.1 200 OK", but was '{"reason":"full' (the body of a 503 in place of the next answer).

Why it works: the answer to a HEAD request is its header; the length that it names is that of the body left out.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -85,8 +85,9 @@
 class responder final : public http_responder {
 public:
     responder(beast::tcp_stream& stream, http_server::state& server, std::shared_ptr<disconnect_watch> watch,
-              bool keep_alive)
-        : stream_{stream}, server_{server}, watch_{std::move(watch)}, keep_alive_{keep_alive}
+              bool keep_alive, bool is_head_request = false)
+        : stream_{stream}, server_{server}, watch_{std::move(watch)}, keep_alive_{keep_alive},
+          is_head_request_{is_head_request}
     {
     }
 
@@ -98,6 +99,11 @@
         message.prepare_payload();
         answered_ = true;
         stream_.expires_after(server_.limits.write_timeout);
+        if (is_head_request_) {
+            auto serializer = http::response_serializer<http::string_body>{message};
+            auto [code, size] = co_await http::async_write_header(stream_, serializer, awaitable_tuple);
+            co_return note(code);
+        }
         auto [code, size] = co_await http::async_write(stream_, message, awaitable_tuple);
         co_return note(code);
     }
@@ -119,6 +125,7 @@
     {
         if (piece.empty()) co_return !broken_;
         if (broken_) co_return false;
+        if (is_head_request_) co_return true;
         stream_.expires_after(server_.limits.write_timeout);
         auto [code, size] = co_await asio::async_write(
             stream_, http::make_chunk(asio::buffer(piece.data(), piece.size())), awaitable_tuple);
@@ -129,6 +136,7 @@
     {
         streaming_ = false;
         if (broken_) co_return false;
+        if (is_head_request_) co_return true;
         stream_.expires_after(server_.limits.write_timeout);
         auto [code, size] = co_await asio::async_write(stream_, http::make_chunk_last(), awaitable_tuple);
         co_return note(code);
@@ -174,6 +182,7 @@
     http_server::state& server_;
     std::shared_ptr<disconnect_watch> watch_;
     bool keep_alive_;
+    bool is_head_request_;              // the answer has a header only
     bool announced_keep_alive_ = false; // as the answer's header said
     bool answered_ = false;
     bool streaming_ = false;
@@ -286,7 +295,7 @@
         request.received = received;
         if (events != nullptr && request.headers.contains("Hw-Clock"))
             events->observe(static_cast<std::uint64_t>(request.headers.number("Hw-Clock", 0)));
-        auto out = responder{stream, *this, watch, keep_alive};
+        auto out = responder{stream, *this, watch, keep_alive, request.method == "HEAD"};
         stream.expires_never();
         watch->arm();
         ++active;
--- a/tests/integration/http_test.cpp
+++ b/tests/integration/http_test.cpp
@@ -223,6 +223,29 @@
     CHECK(!run_coroutine(io, client.fetch(at, {"GET", "/", {}, {}}, {})).has_value());
 }
 
+// Guards against a body that the caller takes for the beginning of the next answer.
+TEST(http, an_answer_to_a_head_request_has_no_body)
+{
+    routes.add("HEAD", "/echo", [](http_request const&, http_responder& out) -> asio::awaitable<void> {
+        co_await out.send({503, {}, "{\"reason\":\"full\"}"});
+    });
+    routes.add("HEAD", "/stream", [](http_request const&, http_responder& out) -> asio::awaitable<void> {
+        co_await out.start(200, {});
+        co_await out.write("first ");
+        co_await out.finish();
+    });
+    for (auto const* path : {"/echo", "/stream", "/missing"}) {
+        auto const answers =
+            raw("HEAD " + std::string{path} +
+                " HTTP/1.1\r\nHost: a\r\n\r\n"
+                "POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 3\r\n\r\nown");
+        auto const end = answers.find("\r\n\r\n");
+        CHECK(end != std::string::npos);
+        STRCMP_EQUAL("HTTP/1.1 200 OK", answers.substr(end + 4, 15).c_str());
+        CHECK(answers.ends_with("\r\n\r\nown"));
+    }
+}
+
 // ---- answers cut at any byte
 
 TEST_GROUP(http_cut_answers)
