--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -95,6 +95,20 @@
     call.last_event_at = now;
 }
 
+auto names_call(relayed_call const& call, endpoint_response_parser const& parser) -> bool
+{
+    return platform::decode_response(parser.status(), parser.headers()).call_id == call.fields.call_id;
+}
+
+// Whether the response is a stream of events. Any other response, such as an error that an endpoint sends in
+// place of the events, is read to its end first.
+auto has_events(relayed_call const& call, endpoint_response_parser const& parser) -> bool
+{
+    if (!call.is_stream() || !parser.has_head() || parser.status() != 200) return false;
+    auto const fields = platform::decode_response(parser.status(), parser.headers());
+    return fields.has_events && !fields.not_executed;
+}
+
 } // namespace
 
 auto call_relay::send(relayed_call& call) -> asio::awaitable<send_outcome>
@@ -102,9 +116,10 @@
     auto const now = clock::now();
     auto const record = call.endpoint->record;
     // The endpoint may close a pooled connection just as a call is sent on it, and then it is unknown whether
-    // the call ran. Only retryable calls use pooled connections.
+    // the call ran. Only retryable calls use pooled connections, and only with an id: without one, their
+    // response could not be told from a late one.
     auto connection = endpoint_connection_ptr{};
-    if (call.route->is_retryable()) connection = pool_.take(record.id, now);
+    if (call.route->is_retryable() && !call.fields.call_id.empty()) connection = pool_.take(record.id, now);
     if (connection == nullptr) {
         auto const timeout = std::min(settings_.connect_timeout,
                                       std::chrono::duration_cast<milliseconds>(call.deadline - now));
@@ -156,12 +171,10 @@
     -> asio::awaitable<send_outcome>
 {
     auto const connection = call.connection;
+    auto is_first_response = !connection->is_reused();
     while (true) {
         while (parser.state() != response_state::complete && parser.state() != response_state::invalid) {
-            auto const matches_call =
-                parser.has_head() &&
-                platform::decode_response(parser.status(), parser.headers()).call_id == call.fields.call_id;
-            if (matches_call && parser.status() == 200 && call.is_stream())
+            if (has_events(call, parser) && names_call(call, parser))
                 co_return co_await relay_events(call, parser);
             auto const bytes = co_await connection->receive(call.deadline);
             if (bytes.empty()) {
@@ -182,19 +195,29 @@
         if (parser.state() == response_state::invalid) co_return send_failed{"response is not valid HTTP"};
         auto const fields = platform::decode_response(parser.status(), parser.headers());
         record_announcements(*call.endpoint, fields, clock::now());
-        if (fields.call_id.empty() || fields.call_id == call.fields.call_id) break;
+        if (fields.call_id.empty()) {
+            // It belongs to the call if it is the only response on its connection. Else it may be a late one,
+            // and the endpoint may be running the call.
+            if (is_first_response && parser.excess_bytes() == 0) break;
+            metrics_registry_.count("responses_without_call");
+            co_return send_failed{"response without a call id on a connection with other responses"};
+        }
+        if (fields.call_id == call.fields.call_id) break;
         // Skip a late response to another call that precedes the expected one.
         metrics_registry_.count("answers_of_other_calls");
         parser.restart();
+        is_first_response = false;
     }
     auto const fields = platform::decode_response(parser.status(), parser.headers());
+    auto const success = parser.status() >= 200 && parser.status() < 300;
+    if (success && fields.not_executed)
+        co_return send_failed{"a success that states that the call did not run"};
     if (fields.not_executed || fields.wrong_endpoint) {
         return_connection(call, parser);
         co_return send_rejected{parser.status()};
     }
-    auto const success = parser.status() >= 200 && parser.status() < 300;
     if (success && !fields.signed_response) co_return send_failed{"response has no endpoint signature"};
-    if (success && call.is_stream()) co_return co_await relay_events(call, parser);
+    if (has_events(call, parser)) co_return co_await relay_events(call, parser);
     auto response =
         send_responded{parser.status(), platform::relayed_headers(parser.headers()), parser.take_body()};
     return_connection(call, parser);
@@ -217,7 +240,9 @@
     auto const fields = platform::decode_response(parser.status(), parser.headers());
     record_announcements(*call.endpoint, fields, clock::now());
     if (!fields.signed_response) co_return send_failed{"response has no endpoint signature"};
-    call.events.discard_partial_event();
+    call.events.begin_response();
+    auto const is_resumed = call.response_started;
+    auto const events_of_earlier_responses = call.events.count();
     auto const fail_stream = [&](std::string reason) -> send_outcome {
         if (call.response_started) return send_interrupted{std::move(reason)};
         return send_failed{std::move(reason)};
@@ -232,6 +257,7 @@
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
             if (!co_await call.out.write(complete_events)) co_return fail_stream("caller disconnected");
         }
+        if (!call.events.continues()) co_return fail_stream("events do not continue the stream");
         if (parser.state() == response_state::invalid) co_return fail_stream("response is not valid HTTP");
         if (parser.state() == response_state::complete) break;
         auto const bytes = co_await connection->receive(call.deadline);
@@ -245,6 +271,10 @@
         parser.feed(bytes);
     }
     if (call.events.pending() > 0) co_return fail_stream("stream ended within an event");
+    // An endpoint that stopped after the header looks the same.
+    auto const has_no_events = call.events.count() == events_of_earlier_responses;
+    if (has_no_events && (is_resumed || parser.ends_with_connection()))
+        co_return fail_stream("stream ended without an event");
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
     return_connection(call, parser);
     co_await call.out.finish();
