Keep prompts that crash engines away from them

Requests of one kind crashed engines one after the other, and with each engine up to sixteen sound calls.

Cause: a failed call was attributed to its endpoint only. The endpoint was avoided for a while; the call was sent to the next one, and so was the next call with the same prompt segment.

Before each send the relay asks prompt_quarantine; after a connection ends within a response, it checks whether the engine's address still accepts connections and, if not, marks the segments of calls that had not got past their beginning; a response that does clears its segments. Calls with a quarantined segment get 400 at once, and those already at an engine are taken back.

--- a/include/hibiscuswall/core/result_code.hpp
+++ b/include/hibiscuswall/core/result_code.hpp
@@ -55,6 +55,8 @@
     shutting_down = 1223,
     stream_interrupted = 1224,
     cancelled = 1225,
+    prompt_quarantined = 1226,
+    prompt_on_trial = 1227,
 
     // ---- weights
     manifest_invalid = 1301,
--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // Relays requests from the entry's HTTP server to endpoints, and their responses back to the callers.
 //
-//   auto relay = call_relay{io, declared, endpoints, random, metrics_registry, region, settings};
+//   auto relay = call_relay{io, declared, endpoints, quarantine, random, metrics_registry, region, settings};
 //   routes.add("*", "/", [&](auto const& request, auto& out) { return relay.serve(request, out); });
 //   asio::co_spawn(io, relay.run_maintenance(), asio::detached);
 //
@@ -32,6 +32,7 @@
     shedding_settings shedding;
     milliseconds connect_timeout{300}; // for a connection to an endpoint
     milliseconds idle_timeout{4'000};  // of a pooled connection if the endpoint sends no Keep-Alive timeout
+    milliseconds crash_check_timeout{100};      // for the connection that tells whether an endpoint has ended
     std::size_t max_response_bytes = 4U << 20U; // of a response that is not a stream
     int max_rejected_sends = 3; // a rejection ends the call once it has been sent this many times in total
 };
@@ -39,14 +40,20 @@
 class call_relay {
 public:
     call_relay(asio::io_context& io, declared_state& declared, endpoint_table& endpoints,
-               random_source& random, metrics& metrics_registry, std::string region,
-               relay_settings const& settings);
+               prompt_quarantine& quarantine, random_source& random, metrics& metrics_registry,
+               std::string region, relay_settings const& settings);
 
     auto serve(http_request const& request, http_responder& out) -> asio::awaitable<void>;
 
     // Sends waiting calls to endpoints that have become free. Called after each load report.
     auto on_load_report() -> void { dispatch_waiting(); }
 
+    // Sets the callback that runs after this entry has observed something that changes the quarantine.
+    auto on_crash_evidence(std::function<void()> callback) -> void
+    {
+        on_crash_evidence_ = std::move(callback);
+    }
+
     // Periodic work: closes stalled sends, moves streams from paused engines, dispatches waiting calls,
     // updates load shedders, removes expired records and connections, and assigns preferred entries. Runs
     // until the io_context stops.
@@ -102,6 +109,21 @@
     auto reserve_replacement(relayed_call& call, time_point now) -> bool;
     auto take_replacement(relayed_call& call) -> bool;
 
+    // ---- call_quarantine.cpp
+    auto prompt_of(relayed_call& call) -> shared_prompt const&;
+    auto has_suspects(relayed_call const& call) const -> bool;
+    auto end_if_quarantined(relayed_call& call) -> asio::awaitable<bool>;
+    auto end_quarantined(relayed_call& call) -> asio::awaitable<void>;
+    auto end_held(relayed_call& call, milliseconds retry_after) -> asio::awaitable<void>;
+    auto end_trial(relayed_call& call) -> void;
+    auto remember_suspicion(relayed_call& call) -> void;
+    auto record_prompt_progress(relayed_call& call, bool is_complete) -> void;
+    auto end_after_lost_connection(relayed_call& call, endpoint_record const& record,
+                                   send_outcome const& outcome) -> asio::awaitable<bool>;
+    auto record_crash(relayed_call& call, endpoint_record record) -> asio::awaitable<void>;
+    auto recall_if_quarantined(relayed_call& call, time_point now) -> void;
+    auto log_quarantine_changes(time_point now) -> void;
+
     // ---- call_shedding.cpp
     auto select_endpoint(relayed_call& call) -> asio::awaitable<placement>;
     auto shedder_for(std::string const& service) -> load_shedder&;
@@ -125,6 +147,7 @@
     std::string region_; // region of this entry
     declared_state& declared_state_;
     endpoint_table& endpoints_;
+    prompt_quarantine& quarantine_;
     random_source& random_;
     metrics& metrics_registry_;
     relay_settings settings_;
@@ -135,6 +158,8 @@
     std::set<relayed_call*> active_;
     wait_queue wait_queue_;
     std::map<waiter*, relayed_call*> waiting_calls_; // calls in the wait queue
+    std::function<void()> on_crash_evidence_;
+    std::set<std::pair<std::string, std::string>> logged_quarantine_; // model and segment
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/serving/endpoint_connection.hpp
+++ b/include/hibiscuswall/serving/endpoint_connection.hpp
@@ -38,7 +38,7 @@
 public:
     endpoint_connection(asio::io_context& io, bool reused) : stream_{io}, reused_{reused} {}
 
-    auto connect(address const& where, milliseconds timeout) -> asio::awaitable<bool>;
+    auto connect(address const& where, milliseconds timeout) -> asio::awaitable<boost::system::error_code>;
     auto send(std::string const& bytes, time_point deadline) -> asio::awaitable<bool>;
 
     // Returns the next bytes, or an empty view if the connection ended; end() gives the reason.
@@ -73,6 +73,11 @@
     // Returns null if the endpoint did not accept the connection within the timeout.
     auto connect(address const& where, milliseconds timeout) -> asio::awaitable<endpoint_connection_ptr>;
 
+    // Whether nothing listens at the address: a connection is refused. False also if it takes longer than the
+    // timeout. An accepted connection is kept for the endpoint's next call.
+    auto refuses_connections(std::string const& id, address const& where, milliseconds timeout,
+                             milliseconds idle_timeout) -> asio::awaitable<bool>;
+
     auto put_back(std::string const& id, endpoint_connection_ptr connection, milliseconds idle_timeout,
                   time_point now) -> void;
 
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -5,6 +5,7 @@
 #include "hibiscuswall/serving/endpoint_connection.hpp"
 #include "hibiscuswall/serving/endpoint_table.hpp"
 #include "hibiscuswall/serving/event_splitter.hpp"
+#include "hibiscuswall/serving/prompt_quarantine.hpp"
 #include "hibiscuswall/serving/service_map.hpp"
 #include "hibiscuswall/serving/wait_queue.hpp"
 #include "platform/call_headers.hpp"
@@ -100,6 +101,14 @@
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
 
+    // ---- segments that may crash engines, see serving/prompt_quarantine
+    std::optional<shared_prompt> prompt;     // decoded once it is needed
+    suspicion suspicion_when_sent;           // of the prompt's segments, at the current send
+    std::vector<std::string> trial_segments; // the call is on trial for these
+    std::size_t events_when_sent = 0;        // events.count() at the current send
+    bool past_beginning = false; // the current response has got past its beginning: its engine survived it
+    bool recalled = false;       // connection closed because the prompt was quarantined after the send
+
     relayed_call(http_request const& from_caller, http_responder& towards_caller)
         : request{from_caller}, out{towards_caller}
     {
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -59,8 +59,9 @@
     entry_registration registration;
     prefix_watcher directory_watcher;
     operator_sync exchange;
-    bool has_listing = false; // endpoints were read once
-    int shared_count = 0;     // entries among which endpoints and limits were last shared
+    std::map<std::string, std::uint64_t> known_versions; // newest declared weights by model
+    bool has_listing = false;                            // endpoints were read once
+    int shared_count = 0; // entries among which endpoints and limits were last shared
     milliseconds stop_time;
 
     direct_entry(direct_entry_settings const& settings, std::uint64_t seed)
@@ -78,6 +79,7 @@
           relay{base.context().io,
                 declared,
                 endpoints,
+                quarantine,
                 base.context().random,
                 base.context().metrics_registry,
                 settings.self.region,
@@ -101,17 +103,31 @@
         ready_routes.add("*", "/", [this](http_request const& /*request*/, http_responder& out) {
             return answer_ready(out);
         });
-        declared.on_change([this] {
-            if (declared.map() != nullptr)
-                caller_server.change_limits(server_limits(declared.map()->limits()));
-        });
+        declared.on_change([this] { on_declared_change(); });
         loads.set_shed_level_source([this] { return relay.shed_level(); });
         loads.set_records_revision_source([this] { return listing.changed_revision(); });
         loads.on_load_report([this] { relay.on_load_report(); });
+        relay.on_crash_evidence([this] { quarantine_peers.on_change(); });
         base.ready_when([this] { return declared.map() != nullptr && has_listing; });
         base.on_stop([this] { return drain(); });
     }
 
+    auto on_declared_change() -> void
+    {
+        if (declared.map() == nullptr) return;
+        caller_server.change_limits(server_limits(declared.map()->limits()));
+        for (auto const& service : declared.map()->services())
+            if (service.engine) on_declared_weights(service.engine->model);
+    }
+
+    auto on_declared_weights(std::string const& model) -> void
+    {
+        auto const version = declared.newest_version(model);
+        auto const is_known = known_versions.contains(model);
+        if (std::exchange(known_versions[model], version) == version || !is_known) return;
+        quarantine.on_weights_declared(model, clock::now());
+    }
+
     static auto server_limits(caller_limits const& limits) -> http_server_limits
     {
         auto server = http_server_limits{};
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -54,11 +54,11 @@
 } // namespace
 
 call_relay::call_relay(asio::io_context& io, declared_state& declared, endpoint_table& endpoints,
-                       random_source& random, metrics& metrics_registry, std::string region,
-                       relay_settings const& settings)
-    : io_{io}, region_{std::move(region)}, declared_state_{declared}, endpoints_{endpoints}, random_{random},
-      metrics_registry_{metrics_registry}, settings_{settings}, pool_{io}, wait_queue_{
-                                                                               settings_.waiting.max_waiting}
+                       prompt_quarantine& quarantine, random_source& random, metrics& metrics_registry,
+                       std::string region, relay_settings const& settings)
+    : io_{io}, region_{std::move(region)}, declared_state_{declared}, endpoints_{endpoints},
+      quarantine_{quarantine}, random_{random}, metrics_registry_{metrics_registry}, settings_{settings},
+      pool_{io}, wait_queue_{settings_.waiting.max_waiting}
 {
 }
 
@@ -76,6 +76,7 @@
     ~registered_call()
     {
         call.out.on_disconnect([] {});
+        relay.end_trial(call);
         relay.active_.erase(&call);
         relay.waiting_calls_.erase(&call.queue_entry);
         relay.wait_queue_.remove(call.queue_entry);
@@ -194,6 +195,7 @@
             if (auto found = look_up(call); !found)
                 co_return co_await end_unroutable_call(call, found.error());
         }
+        if (co_await end_if_quarantined(call)) co_return;
         auto const is_replaced = take_replacement(call);
         auto decision = placement{placed{call.endpoint}};
         if (!is_replaced) decision = co_await select_endpoint(call);
@@ -217,10 +219,13 @@
         auto const endpoint = call.endpoint;
         auto outcome = co_await send(call);
         stop_seeking_replacement(call);
+        end_trial(call);
         release_slot(call);
         call.tried_endpoints.insert(endpoint->record.id);
         if (call.caller_disconnected) break;
         record_send_outcome(call, *endpoint, outcome);
+        if (co_await end_after_lost_connection(call, endpoint->record, outcome)) co_return;
+        if (call.caller_disconnected) break;
         if (co_await handle_outcome(call, std::move(outcome))) co_return;
     }
     release_slot(call);
@@ -240,7 +245,7 @@
                                     [&](send_responded const&) { endpoint_table::record_success(endpoint); },
                                     [&](send_streamed const&) { endpoint_table::record_success(endpoint); }};
     std::visit(visitor, outcome);
-    if (reason.empty() || call.moved) return;
+    if (reason.empty() || call.moved || call.recalled) return;
     endpoint_table::record_failure(endpoint, clock::now());
     log_event(log_level::warning, "send_failed",
               {{"call", call.fields.call_id},
@@ -365,6 +370,8 @@
         auto const now = clock::now();
         for (auto* call : active_)
             check_progress(*call, now);
+        for (auto* call : active_)
+            recall_if_quarantined(*call, now);
         endpoints_.update_assignment();
         dispatch_waiting();
         update_shedders(now);
@@ -373,6 +380,7 @@
         last_expiry = now;
         pool_.close_expired(now);
         endpoints_.assign_preferred_entries();
+        log_quarantine_changes(now);
     }
 }
 
--- a/src/serving/endpoint_connection.cpp
+++ b/src/serving/endpoint_connection.cpp
@@ -16,16 +16,17 @@
 
 } // namespace
 
-auto endpoint_connection::connect(address const& where, milliseconds timeout) -> asio::awaitable<bool>
+auto endpoint_connection::connect(address const& where, milliseconds timeout)
+    -> asio::awaitable<boost::system::error_code>
 {
     auto const target = tcp::endpoint{asio::ip::make_address(where.ip), where.port};
     stream_.expires_after(timeout);
     auto [code] = co_await stream_.async_connect(target, awaitable_tuple);
-    if (code) co_return false;
+    if (code) co_return code;
     auto ignored = boost::system::error_code{};
     stream_.socket().set_option(tcp::no_delay{true}, ignored);
     stream_.socket().non_blocking(true, ignored);
-    co_return true;
+    co_return code;
 }
 
 auto endpoint_connection::send(std::string const& bytes, time_point deadline) -> asio::awaitable<bool>
@@ -82,11 +83,23 @@
 {
     auto connection = std::make_shared<endpoint_connection>(io_, false);
     ++made_;
-    auto const connected = co_await connection->connect(where, timeout);
-    if (!connected) connection = nullptr;
+    auto const code = co_await connection->connect(where, timeout);
+    if (code) connection = nullptr;
     co_return connection;
 }
 
+auto endpoint_pool::refuses_connections(std::string const& id, address const& where, milliseconds timeout,
+                                        milliseconds idle_timeout) -> asio::awaitable<bool>
+{
+    auto connection = std::make_shared<endpoint_connection>(io_, false);
+    auto const code = co_await connection->connect(where, timeout);
+    if (!code) {
+        ++made_;
+        put_back(id, std::move(connection), idle_timeout, clock::now());
+    }
+    co_return code == asio::error::connection_refused;
+}
+
 auto endpoint_pool::put_back(std::string const& id, endpoint_connection_ptr connection,
                              milliseconds idle_timeout, time_point now) -> void
 {
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -131,6 +131,9 @@
     // was connecting. A connection that is dropped here carried nothing.
     if (!call.endpoint->accepts_calls(clock::now())) co_return send_withheld{};
     call.connection = connection;
+    if (has_suspects(call) && quarantine_.is_quarantined(prompt_of(call), clock::now()))
+        co_return send_withheld{};
+    remember_suspicion(call);
     call.closed_as_stalled = false;
     call.sent_at = clock::now();
     call.last_progress_at = {};
@@ -254,6 +257,7 @@
         if (!complete_events.empty()) {
             record_events(call, clock::now(), call.events.count() > events_before);
             call.on_prompt_processed();
+            record_prompt_progress(call, false);
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
             if (!co_await call.out.write(complete_events)) co_return fail_stream("caller disconnected");
         }
@@ -276,6 +280,7 @@
     if (has_no_events && (is_resumed || parser.ends_with_connection()))
         co_return fail_stream("stream ended without an event");
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
+    record_prompt_progress(call, true);
     return_connection(call, parser);
     co_await call.out.finish();
     co_return send_streamed{};
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -109,6 +109,16 @@
     }
 }
 
+// As if the process had crashed. The descriptors stay open until the destructor closes them.
+auto scripted_endpoint::stop_as_crashed() -> void
+{
+    stopping_ = true;
+    ::shutdown(listener_, SHUT_RDWR);
+    auto const guard = std::lock_guard{lock_};
+    for (auto const socket : open_)
+        reset_connection(socket);
+}
+
 auto scripted_endpoint::send_repeatedly(int socket, scripted_response const& response) -> void
 {
     while (!stopping_) {
@@ -150,6 +160,7 @@
             std::this_thread::sleep_for(response.late_delay);
             ::send(socket, response.late_bytes.data(), response.late_bytes.size(), MSG_NOSIGNAL);
         }
+        if (response.ends_endpoint) return stop_as_crashed();
         if (response.reset) return reset_connection(socket);
         if (!response.close) continue;
         ::shutdown(socket, SHUT_RDWR);
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -38,7 +38,8 @@
     milliseconds repeat_interval{0}; // between two of them
     std::string late_bytes{};        // sent once, late_delay after the bytes
     milliseconds late_delay{0};
-    bool reset = false; // reset the connection after the bytes
+    bool reset = false;         // reset the connection after the bytes
+    bool ends_endpoint = false; // then reset all connections and listen no more
 };
 
 class scripted_endpoint {
@@ -62,6 +63,7 @@
 private:
     auto accept_loop() -> void;
     auto serve(int socket) -> void;
+    auto stop_as_crashed() -> void;
     auto send_repeatedly(int socket, scripted_response const& response) -> void;
 
     respond_function respond_;
