Read the log of the first entry under its new name

direct_entry_base names the log of each entry after the entry since it starts several; two tests of config_during_a_call read the former name and failed.

--- a/tests/integration/config_during_call_test.cpp
+++ b/tests/integration/config_during_call_test.cpp
@@ -35,7 +35,7 @@
 // Whether an entry's log has a line with all these parts.
 auto logged(std::vector<std::string> const& parts) -> bool
 {
-    auto log = std::ifstream{folder / "entry.log"};
+    auto log = std::ifstream{folder / "e1.log"};
     for (auto line = std::string{}; std::getline(log, line);)
         if (std::all_of(parts.begin(), parts.end(),
                         [&](auto const& part) { return line.find(part) != std::string::npos; }))
