Reserve a replacement under the newest configuration, and check it before use

A slot was reserved with the call's former route and the connection closed; only then was the route looked up in the newest configuration. A second reservation could also overwrite the first, whose slot was then never given back.

The match is renewed before a slot is looked for, and without one the call stays; a reservation is dropped if operators changed anything since. Calls that seek a replacement have a queue of their own: in the common one they filled the places of ordinary calls until their deadline and made each call that may be shed be shed. Answers to HEAD requests count as complete in the log.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -106,6 +106,7 @@
     auto check_progress(relayed_call& call, time_point now) -> void;
     auto seek_replacement(relayed_call& call) -> void;
     auto stop_seeking_replacement(relayed_call& call) -> void;
+    auto renew_match(relayed_call& call) -> bool;
     auto reserve_replacement(relayed_call& call, time_point now) -> bool;
     auto take_replacement(relayed_call& call) -> bool;
 
@@ -157,6 +158,7 @@
     std::map<std::string, window_retry_budget, std::less<>> budgets_; // by service
     std::set<relayed_call*> active_;
     wait_queue wait_queue_;
+    wait_queue replacement_queue_;                   // calls at stalled endpoints that seek another one
     std::map<waiter*, relayed_call*> waiting_calls_; // calls in the wait queue
     std::function<void()> on_crash_evidence_;
     std::set<std::pair<std::string, std::string>> logged_quarantine_; // model and segment
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -103,6 +103,7 @@
         if (is_head_request_) {
             auto serializer = http::response_serializer<http::string_body>{message};
             auto [code, size] = co_await http::async_write_header(stream_, serializer, awaitable_tuple);
+            if (!code) progress_ = answer_progress::complete;
             co_return note(code);
         }
         auto [code, size] = co_await http::async_write(stream_, message, awaitable_tuple);
@@ -139,7 +140,10 @@
     {
         streaming_ = false;
         if (broken_) co_return false;
-        if (is_head_request_) co_return true;
+        if (is_head_request_) {
+            progress_ = answer_progress::complete;
+            co_return true;
+        }
         stream_.expires_after(server_.limits.write_timeout);
         auto [code, size] = co_await asio::async_write(stream_, http::make_chunk_last(), awaitable_tuple);
         if (!code) progress_ = answer_progress::complete;
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -12,6 +12,7 @@
 constexpr auto maintenance_interval = milliseconds{50}; // between rounds of run_maintenance()
 // Between sweeps of the connection pool, and between assignments of preferred entries.
 constexpr auto expiry_interval = seconds{1};
+constexpr auto max_seeking = std::size_t{1'024};       // calls at stalled endpoints that seek another one
 constexpr auto default_timeout = milliseconds{60'000}; // for callers that send no timeout
 
 template<class... Functions>
@@ -58,7 +59,7 @@
                        std::string region, relay_settings const& settings)
     : io_{io}, region_{std::move(region)}, declared_state_{declared}, endpoints_{endpoints},
       quarantine_{quarantine}, random_{random}, metrics_registry_{metrics_registry}, settings_{settings},
-      pool_{io}, wait_queue_{settings_.waiting.max_waiting}
+      pool_{io}, wait_queue_{settings_.waiting.max_waiting}, replacement_queue_{max_seeking}
 {
 }
 
@@ -80,6 +81,7 @@
         relay.active_.erase(&call);
         relay.waiting_calls_.erase(&call.queue_entry);
         relay.wait_queue_.remove(call.queue_entry);
+        relay.replacement_queue_.remove(call.queue_entry);
         if (call.replacement != nullptr) endpoint_table::record_end(*call.replacement);
         if (call.endpoint == nullptr) return;
         call.on_prompt_processed();
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -8,11 +8,12 @@
 // Called periodically for each call.
 auto call_relay::check_progress(relayed_call& call, time_point now) -> void
 {
+    if (call.replacement != nullptr) return;
     if (!call.moved && should_move(call, settings_.stalls, now)) {
         call.moved = reserve_replacement(call, now);
         return;
     }
-    if (call.connection == nullptr || call.replacement != nullptr) return;
+    if (call.connection == nullptr) return;
     if (has_stalled(call, settings_.stalls, now))
         seek_replacement(call);
     else
@@ -26,7 +27,7 @@
     if (call.seeks_replacement) return;
     call.queue_entry.priority = -1;
     call.queue_entry.until = call.deadline;
-    if (!wait_queue_.add(call.queue_entry)) return;
+    if (!replacement_queue_.add(call.queue_entry)) return;
     waiting_calls_[&call.queue_entry] = &call;
     call.seeks_replacement = true;
 }
@@ -36,14 +37,25 @@
     if (!call.seeks_replacement) return;
     call.seeks_replacement = false;
     waiting_calls_.erase(&call.queue_entry);
-    wait_queue_.remove(call.queue_entry);
+    replacement_queue_.remove(call.queue_entry);
+}
+
+// Gives the call the newest configuration, if that still sends it to the same service. Otherwise the call can
+// only end where it is.
+auto call_relay::renew_match(relayed_call& call) -> bool
+{
+    if (declared_state_.map() == call.map) return true;
+    auto match = route_match{};
+    if (!find_match(call, match) || match.service->name != call.service->name) return false;
+    static_cast<route_match&>(call) = std::move(match);
+    return true;
 }
 
 // Reserves a slot at another endpoint and closes the connection to the present one. Returns whether there was
 // one.
 auto call_relay::reserve_replacement(relayed_call& call, time_point now) -> bool
 {
-    if (call.connection == nullptr) return false;
+    if (call.connection == nullptr || !renew_match(call)) return false;
     call.tried_endpoints.insert(call.endpoint->record.id);
     auto const decision = next_endpoint(call);
     auto const* found = std::get_if<placed>(&decision);
@@ -51,17 +63,19 @@
     call.closed_as_stalled = call.seeks_replacement;
     stop_seeking_replacement(call);
     call.replacement = found->endpoint;
+    call.replacement_revision = declared_state_.revision();
     endpoint_table::record_send(*call.replacement, now);
     call.connection->close();
     return true;
 }
 
-// Makes the reserved slot that of the next send. Not if the call's service changed meanwhile.
+// Makes the reserved slot that of the next send. Not if operators have changed something since, which may
+// forbid the endpoint.
 auto call_relay::take_replacement(relayed_call& call) -> bool
 {
     if (call.replacement == nullptr) return false;
     auto const replacement = std::exchange(call.replacement, nullptr);
-    if (replacement->record.service == call.service->name) {
+    if (call.replacement_revision == declared_state_.revision()) {
         assign_endpoint(call, replacement);
         return true;
     }
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -89,12 +89,10 @@
 
 auto call_relay::dispatch_waiting() -> void
 {
+    for (auto* each : replacement_queue_.by_priority())
+        reserve_replacement(*waiting_calls_.at(each), clock::now());
     for (auto* each : wait_queue_.by_priority()) {
         auto& call = *waiting_calls_.at(each);
-        if (call.seeks_replacement) {
-            reserve_replacement(call, clock::now());
-            continue;
-        }
         if (call.endpoint != nullptr || call.caller_disconnected) continue;
         auto const decision = next_endpoint(call);
         auto const* found = std::get_if<placed>(&decision);
--- a/tests/integration/silent_endpoints_test.cpp
+++ b/tests/integration/silent_endpoints_test.cpp
@@ -57,3 +57,30 @@
     CHECK_EQUAL(200, response.status);
     STRCMP_EQUAL("late", response.body.c_str());
 }
+
+// Guards against a sound stream that is broken off because its route went while its endpoint was silent: it
+// could not be sent to another endpoint any more.
+TEST(silent_endpoints, a_stream_whose_route_is_gone_stays_with_its_endpoint)
+{
+    auto const pause = [](auto const& request) {
+        auto response = scripted_response{events_from(request, 1, 2)};
+        response.late_bytes = chunks_from(request, 3, 5) + end_of_chunks;
+        response.late_delay = milliseconds{1'350};
+        return response;
+    };
+    auto one = scripted_endpoint{pause};
+    auto two = scripted_endpoint{pause};
+    start_entry_with({&one, &two});
+    auto request = next_request("/draft/x", "POST");
+    request.headers.set("X-Hibiscuswall-Deadline-Ms", "3000");
+    auto response = std::async(std::launch::async, [&] { return call(callers, std::move(request)); });
+    CHECK(await_condition(seconds{2}, [&] { return one.requests().size() + two.requests().size() == 1; }));
+    put("op/config", json{{"version", version++},
+                          {"routes", json::array()},
+                          {"services", json::array({json{{"name", "s"}, {"maxConnections", 50}}})},
+                          {"tenants", json::array()}});
+    auto const received = response.get();
+    CHECK_EQUAL(200, received.status);
+    STRCMP_EQUAL(expected_events(5).c_str(), received.body.c_str());
+    CHECK_EQUAL(1U, one.requests().size() + two.requests().size());
+}
