--- a/include/hibiscuswall/serving/quarantine_settings.hpp
+++ b/include/hibiscuswall/serving/quarantine_settings.hpp
@@ -8,9 +8,9 @@
 namespace hibiscuswall {
 
 struct quarantine_settings {
-    int quarantine_generation = 3;           // generation from which calls are rejected
-    milliseconds suspicion_lifetime{30'000}; // of marks below the quarantine generation
-    milliseconds quarantine_time{600'000};   // until the first new trial; doubles with each generation
+    int quarantine_generation = 3;            // generation from which calls are rejected
+    milliseconds suspicion_lifetime{300'000}; // of marks below the quarantine generation
+    milliseconds quarantine_time{600'000};    // until the first new trial; doubles with each generation
     milliseconds max_quarantine_time{3'600'000};
     milliseconds trial_due_lifetime{3'600'000}; // a segment that nobody asks for is forgotten after it
     milliseconds weights_trial_delay{60'000};   // other weights declared: time until trials at the latest
