Replace no record by one of equal evidence from a peer

Ages are rounded on their way, so a record that came back looked newer than the one it replaced.

A record from a peer now displaces only one with less evidence. quarantine_bounds.a_full_entry_replaces_no_record_by_one_of_equal_evidence_ from_a_peer is new.

--- a/src/serving/crash_marks.cpp
+++ b/src/serving/crash_marks.cpp
@@ -15,6 +15,12 @@
     marked_segment const* marks = nullptr;
 };
 
+// Whether the first is less suspected, whatever its time.
+auto has_less_evidence(marked_segment const& left, marked_segment const& right) -> bool
+{
+    return std::tuple{left.generation(), left.crashes()} < std::tuple{right.generation(), right.crashes()};
+}
+
 // Whether the first is forgotten before the second.
 auto is_less_suspected(listed_segment const& left, listed_segment const& right) -> bool
 {
@@ -91,6 +97,9 @@
     }
     auto added = marked_segment{};
     added.merge(record.marks, now, limits_);
+    // Two full entries would otherwise replace records of equal evidence with each other's for ever.
+    auto const is_full = size_ >= limits_.max_segments;
+    if (is_full && !has_less_evidence(*least_suspected(models_).marks, added)) return false;
     return insert(model, segment, std::move(added));
 }
 
--- a/tests/unit/quarantine_exchange_test.cpp
+++ b/tests/unit/quarantine_exchange_test.cpp
@@ -346,3 +346,14 @@
     }
     CHECK(shortest < std::chrono::milliseconds{100} * slowdown);
 }
+
+// Guards against two full entries that replace records with each other's for ever, because a time that was
+// rounded on its way looks newer.
+TEST(quarantine_bounds, a_full_entry_replaces_no_record_by_one_of_equal_evidence_from_a_peer)
+{
+    crash_with_made_up_segments(0);
+    CHECK_EQUAL(settings.max_segments, record_count());
+    now += milliseconds{5};
+    CHECK_FALSE(entry.merge(message{{"model", "other", {{77, 1, false, now}}}}, now));
+    CHECK(entry.merge(message{{"model", "other", {{77, 2, false, now}}}}, now));
+}
