Decide on suspected prompts where they are sent, and recognise more crashes

Found by review of the quarantine: - a call that was allowed, and then waited or connected while its segment came on trial, was sent beside the trial; the decision is made again where the request is written, and before a call leaves a silent endpoint; - a trial ended before the crash that it caused was recorded, so that the next call could be tried in between; - a stream without a length that ended inside an event or without one was not looked at as a crash, and one that ended after its first event cleared the marks of its prompt; only a length, an end marker or a second event shows that the engine went on; - plain responses of engines cleared nothing; - a stream of one event was never held; - prompt_quarantined said that the call had not run, also for calls that were taken back from an engine; the error names the quarantined segments only; - an endpoint that leaves, and a prompt without shared segments, needs no check of the endpoint's address.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -32,7 +32,6 @@
     shedding_settings shedding;
     milliseconds connect_timeout{300}; // for a connection to an endpoint
     milliseconds idle_timeout{4'000};  // of a pooled connection if the endpoint sends no Keep-Alive timeout
-    milliseconds crash_check_timeout{100};      // for the connection that tells whether an endpoint has ended
     std::size_t max_response_bytes = 4U << 20U; // of a response that is not a stream
     int max_rejected_sends = 3; // a rejection ends the call once it has been sent this many times in total
 };
@@ -112,15 +111,17 @@
 
     // ---- call_quarantine.cpp
     auto prompt_of(relayed_call& call) -> shared_prompt const&;
-    auto has_suspects(relayed_call const& call) const -> bool;
+    [[nodiscard]] auto goes_to_engine(relayed_call const& call) const -> bool;
+    auto must_decide_again(relayed_call& call, time_point now) -> bool;
+    auto is_tried_one_at_a_time(relayed_call& call) -> bool;
     auto end_if_quarantined(relayed_call& call) -> asio::awaitable<bool>;
-    auto end_quarantined(relayed_call& call) -> asio::awaitable<void>;
+    auto end_quarantined(relayed_call& call, std::string segments) -> asio::awaitable<void>;
     auto end_held(relayed_call& call, milliseconds retry_after) -> asio::awaitable<void>;
     auto end_trial(relayed_call& call) -> void;
     auto remember_suspicion(relayed_call& call) -> void;
     auto record_prompt_progress(relayed_call& call, bool is_complete) -> void;
-    auto end_after_lost_connection(relayed_call& call, endpoint_record const& record,
-                                   send_outcome const& outcome) -> asio::awaitable<bool>;
+    auto end_after_lost_connection(relayed_call& call, endpoint_ptr endpoint, send_outcome const& outcome)
+        -> asio::awaitable<bool>;
     auto record_crash(relayed_call& call, endpoint_record record) -> asio::awaitable<void>;
     auto recall_if_quarantined(relayed_call& call, time_point now) -> void;
     auto log_quarantine_changes(time_point now) -> void;
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -68,7 +68,7 @@
     {rc::stream_interrupted, "stream_interrupted", 502, ran::unknown,
      "a stream ended early and could not be resumed"},
     {rc::cancelled, "cancelled", 499, ran::unknown, "the caller closed the connection"},
-    {rc::prompt_quarantined, "prompt_quarantined", 400, ran::no,
+    {rc::prompt_quarantined, "prompt_quarantined", 400, ran::unknown,
      "a segment of the prompt has crashed several engines; the request is not sent to another one"},
     {rc::prompt_on_trial, "prompt_on_trial", 503, ran::no,
      "a segment of the prompt may crash engines and another request is trying it"},
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -221,12 +221,11 @@
         auto const endpoint = call.endpoint;
         auto outcome = co_await send(call);
         stop_seeking_replacement(call);
-        end_trial(call);
         release_slot(call);
         call.tried_endpoints.insert(endpoint->record.id);
         if (call.caller_disconnected) break;
         record_send_outcome(call, *endpoint, outcome);
-        if (co_await end_after_lost_connection(call, endpoint->record, outcome)) co_return;
+        if (co_await end_after_lost_connection(call, endpoint, outcome)) co_return;
         if (call.caller_disconnected) break;
         if (co_await handle_outcome(call, std::move(outcome))) co_return;
     }
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -55,7 +55,7 @@
 // one.
 auto call_relay::reserve_replacement(relayed_call& call, time_point now) -> bool
 {
-    if (call.connection == nullptr || !renew_match(call)) return false;
+    if (call.connection == nullptr || !renew_match(call) || must_decide_again(call, now)) return false;
     call.tried_endpoints.insert(call.endpoint->record.id);
     auto const decision = next_endpoint(call);
     auto const* found = std::get_if<placed>(&decision);
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -130,9 +130,8 @@
     // Checked where the request is written: the endpoint may have announced its departure while this call
     // was connecting. A connection that is dropped here carried nothing.
     if (!call.endpoint->accepts_calls(clock::now())) co_return send_withheld{};
+    if (must_decide_again(call, clock::now())) co_return send_withheld{};
     call.connection = connection;
-    if (has_suspects(call) && quarantine_.is_quarantined(prompt_of(call), clock::now()))
-        co_return send_withheld{};
     remember_suspicion(call);
     call.closed_as_stalled = false;
     call.sent_at = clock::now();
@@ -221,6 +220,7 @@
     }
     if (success && !fields.signed_response) co_return send_failed{"response has no endpoint signature"};
     if (has_events(call, parser)) co_return co_await relay_events(call, parser);
+    if (success && !parser.ends_with_connection()) record_prompt_progress(call, true);
     auto response =
         send_responded{parser.status(), platform::relayed_headers(parser.headers()), parser.take_body()};
     return_connection(call, parser);
@@ -280,7 +280,7 @@
     if (has_no_events && (is_resumed || parser.ends_with_connection()))
         co_return fail_stream("stream ended without an event");
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
-    record_prompt_progress(call, true);
+    if (!parser.ends_with_connection()) record_prompt_progress(call, true);
     return_connection(call, parser);
     co_await call.out.finish();
     co_return send_streamed{};
--- a/tests/integration/crashing_prompts_test.cpp
+++ b/tests/integration/crashing_prompts_test.cpp
@@ -51,22 +51,49 @@
                                   {"layers", {{"from", 0}, {"target", 1}, {"version", 1}}}});
     }
 
-    // Starts engines that end when they begin a response to a prompt with the segment "dead".
-    auto start_engines()->void
+    // Starts engines that end when they begin a response to a prompt with the segment "dead", after this
+    // number of
+    // events.
+    auto start_engines(int events_before_crash)->void
     {
+        auto const respond = [this, events_before_crash](scripted_request const& request) {
+            if (!holds(request, "dead")) return scripted_response{events_from(request, 1, 3) + end_of_chunks};
+            ++crashes;
+            auto crash = scripted_response{};
+            if (events_before_crash > 0) crash.bytes = events_from(request, 1, events_before_crash);
+            crash.ends_endpoint = true;
+            return crash;
+        };
         for (auto i = 0; i < engine_count; ++i) {
-            engines.push_back(std::make_unique<scripted_endpoint>([this](auto const& request) {
-                if (!holds(request, "dead"))
-                    return scripted_response{events_from(request, 1, 3) + end_of_chunks};
-                ++crashes;
-                auto crash = scripted_response{};
-                crash.ends_endpoint = true;
-                return crash;
-            }));
+            engines.push_back(std::make_unique<scripted_endpoint>(respond));
             put_engine("i-" + std::to_string(i + 1), *engines.back());
         }
     }
 
+    // Sends calls with the segment until they are rejected, each beside a sound one that shares another
+    // segment.
+    auto check_that_crashes_end()->void
+    {
+        CHECK(await_condition(seconds{5}, [&] { return draft("a:40,own0:10").status == 200; }));
+        auto rejected = http_response{};
+        auto sent = 0;
+        while (rejected.status != 400 && sent < 20) {
+            auto const number = std::to_string(++sent);
+            rejected = draft("a:40,dead:40,own" + number + ":10");
+            CHECK_EQUAL(200, draft("a:40,own" + number + ":10").status);
+        }
+        CHECK_EQUAL(400, rejected.status);
+        CHECK(rejected.body.find("prompt_quarantined") != std::string::npos);
+        CHECK(crashes <= 4);
+        auto const crashes_before = crashes.load();
+        for (auto i = 0; i < 10; ++i) {
+            auto const number = std::to_string(i);
+            CHECK_EQUAL(400, draft("b:40,dead:40,late" + number + ":10").status);
+            CHECK_EQUAL(200, draft("b:40,late" + number + ":10").status);
+        }
+        CHECK_EQUAL(crashes_before, crashes.load());
+    }
+
     auto draft(std::string const& prompt)->http_response
     {
         auto request = next_request("/draft/x", "POST");
@@ -82,27 +109,20 @@
 TEST(crashing_prompts, are_rejected_after_few_crashes_while_sound_prompts_are_served)
 {
     configure_engines();
-    start_engines();
+    start_engines(0);
     start_entry();
     await_ready();
-    CHECK(await_condition(seconds{5}, [&] { return draft("a:40,own0:10").status == 200; }));
-    auto rejected = http_response{};
-    auto sent = 0;
-    while (rejected.status != 400 && sent < 20) {
-        auto const number = std::to_string(++sent);
-        rejected = draft("a:40,dead:40,own" + number + ":10");
-        CHECK_EQUAL(200, draft("a:40,own" + number + ":10").status);
-    }
-    CHECK_EQUAL(400, rejected.status);
-    CHECK(rejected.body.find("prompt_quarantined") != std::string::npos);
-    CHECK(crashes <= 4);
-    auto const crashes_before = crashes.load();
-    for (auto i = 0; i < 10; ++i) {
-        auto const number = std::to_string(i);
-        CHECK_EQUAL(400, draft("b:40,dead:40,late" + number + ":10").status);
-        CHECK_EQUAL(200, draft("b:40,late" + number + ":10").status);
-    }
-    CHECK_EQUAL(crashes_before, crashes.load());
+    check_that_crashes_end();
+}
+
+// Guards against a first event that is taken for a sign that the engine survived the prompt.
+TEST(crashing_prompts, are_rejected_as_well_if_their_engines_still_send_an_event)
+{
+    configure_engines();
+    start_engines(1);
+    start_entry();
+    await_ready();
+    check_that_crashes_end();
 }
 
 // Guards against sound prompts that are rejected because endpoints reset single connections.
