--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -614,7 +614,7 @@
 
     def __init__(self, fleet, entry, per_second=20, name="c", retries=False):
         self.fleet, self.entry, self.pause, self.name, self.retries = fleet, entry, 1 / per_second, name, retries
-        self.requests, self.served = 0, 0
+        self.results = []  # of each request that ended: when it began, whether it was served
         self.stop, self.lock, self.answers, self.sent = threading.Event(), threading.Lock(), {}, {}
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -629,15 +629,13 @@
 
     def call(self, request):
         """One request: after a 503 the client asks once more, when it was told to, within a third of its time."""
-        with self.lock:
-            self.requests += 1
         begun = time.monotonic()
         status, retry_after = self.attempt(request)
         if status == 503 and self.retries and retry_after <= 2.0:
             time.sleep(retry_after)
             status, _ = self.attempt(request + "r", 6.0 - (time.monotonic() - begun))
         with self.lock:
-            self.served += status == 200
+            self.results.append((begun, status == 200))
 
     def attempt(self, attempt, seconds=6.0):
         host, port = self.entry.callers.split(":")
