Count the time that a machine was suspended

Callers saw: nothing reported.

Cause: every decision took its time from std::chrono::steady_clock.

Evidence: with CLOCK_MONOTONIC in the new clock, suspended_machine.its_duration_counts_on_the_clock_of_all_decisions fails at "counted >= suspension.count()"; a preloaded library lets the steady clock stand while a program is stopped.

Fix: hibiscuswall::clock reads CLOCK_BOOTTIME, which counts stops and suspensions. It is a type of its own, so that mixing it with the steady clock does not compile; timers that take time points of decisions are on it as well. Both layouts use it. Timeouts of single reads and writes stay on the steady clock: they only bound a wait.

Result: the test passes. A real suspension was not tried.

--- a/include/hibiscuswall/core/time.hpp
+++ b/include/hibiscuswall/core/time.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Time as the decisions see it: a steady time point handed in by the caller.
+// Time as the decisions see it: a time point handed in by the caller.
 //
 //   auto admit(request const&, time_point now) -> decision;
 //
@@ -9,7 +9,18 @@
 
 namespace hibiscuswall {
 
-using clock = std::chrono::steady_clock;
+// Never set back, and runs on while the process is stopped and while the machine is suspended.
+// std::chrono::steady_clock stands while the machine is suspended: what expired meanwhile would look valid.
+struct clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<clock>;
+    static constexpr auto is_steady = true;
+
+    [[nodiscard]] static auto now() noexcept -> time_point;
+};
+
 using time_point = clock::time_point;
 using milliseconds = std::chrono::milliseconds;
 using microseconds = std::chrono::microseconds;
--- a/include/hibiscuswall/fleet/quarantine_exchange.hpp
+++ b/include/hibiscuswall/fleet/quarantine_exchange.hpp
@@ -7,11 +7,10 @@
 //   exchange.set_entries(directory.entries());
 //   exchange.on_change();                     // after a local change of the quarantine
 
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 #include "hibiscuswall/fleet/quarantine_gossip.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <string>
 
 namespace hibiscuswall {
@@ -35,7 +34,7 @@
 
     load_report_receiver& channel_;
     quarantine_gossip gossip_;
-    asio::steady_timer timer_; // until the next round
+    clock_timer timer_; // until the next round
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/membership/gossip_service.hpp
+++ b/include/hibiscuswall/membership/gossip_service.hpp
@@ -9,13 +9,12 @@
 
 #include "hibiscuswall/config/config_service.hpp"
 #include "hibiscuswall/core/process_context.hpp"
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/membership/exchange_budget.hpp"
 #include "hibiscuswall/membership/exchange_message.hpp"
 #include "hibiscuswall/membership/member_table.hpp"
 #include "hibiscuswall/platform/host_list_client.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace hibiscuswall {
 
 class gossip_service {
@@ -48,8 +47,8 @@
     host_list_client& host_list_;
     membership_settings settings_;
     exchange_budget budget_;
-    asio::steady_timer round_timer_;     // cancelled when an update is pending
-    asio::steady_timer host_list_timer_; // cancelled when a peer reports this process as leaving
+    clock_timer round_timer_;            // cancelled when an update is pending
+    clock_timer host_list_timer_;        // cancelled when a peer reports this process as leaving
     bool listed_leaving_ = false;        // the host list lists this process as leaving, or a peer reported so
     bool digests_differ_ = false;        // the latest message came from a table with another digest
     time_point next_regular_round_ = {}; // time of the next regular exchange
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // State of one request that an entry relays, and the outcomes of sending it to an endpoint.
 
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/http/http_router.hpp"
 #include "hibiscuswall/serving/endpoint_connection.hpp"
 #include "hibiscuswall/serving/endpoint_table.hpp"
@@ -10,8 +11,6 @@
 #include "hibiscuswall/serving/wait_queue.hpp"
 #include "platform/call_headers.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <set>
 #include <string>
 #include <utility>
@@ -84,8 +83,8 @@
     // ---- waiting for an endpoint
     bool shed = false;  // the call is among those to be shed; it is sent only if enough slots are free
     waiter queue_entry; // priority and deadline in the wait queue
-    asio::steady_timer* wait_timer = nullptr; // cancelled once a slot is reserved; null while not waiting
-    milliseconds wait_duration{0};            // total time spent waiting
+    clock_timer* wait_timer = nullptr; // cancelled once a slot is reserved; null while not waiting
+    milliseconds wait_duration{0};     // total time spent waiting
 
     // ---- the current send
     endpoint_ptr endpoint;                  // endpoint with a slot reserved for the call, or null
--- a/include/hibiscuswall/weights/link_budget.hpp
+++ b/include/hibiscuswall/weights/link_budget.hpp
@@ -8,10 +8,10 @@
 // token_bucket computes levels and waits; link_budget awaits them in order of arrival.
 
 #include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/core/timer.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -67,7 +67,7 @@
     std::uint64_t transfer_bytes_ = 0;
     std::uint64_t next_ticket_ = 0;
     std::uint64_t serving_ = 0;
-    boost::asio::steady_timer turn_;   // cancelled when the next ticket is served
+    clock_timer turn_;                 // cancelled when the next ticket is served
     bool limited_ = false;             // the rate is not 0
     bool has_request_traffic_ = false; // client calls use this link
 };
--- a/include/hibiscuswall/weights/transfer.hpp
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -88,7 +88,7 @@
     fetch_window window_;
     std::map<std::string, address, std::less<>> addresses_;
     time_point hosts_refreshed_;
-    asio::steady_timer wake_timer_;
+    clock_timer wake_timer_;
     std::size_t polls_ = 0; // polls of peers in flight
     bool cancelled_ = false;
 };
--- a/include/hibiscuswall/weights/verifier.hpp
+++ b/include/hibiscuswall/weights/verifier.hpp
@@ -7,11 +7,11 @@
 // While the ring is full, a call retries after a short delay; the network thread never blocks.
 
 #include "hibiscuswall/core/bounded_ring.hpp"
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/weights/chunk_store.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -42,7 +42,7 @@
         bool matches = false;
     };
     struct waiter {
-        boost::asio::steady_timer done;
+        clock_timer done;
         bool finished = false;
         bool matches = false;
     };
--- a/src/calls/caller_cancellation.cpp
+++ b/src/calls/caller_cancellation.cpp
@@ -1,9 +1,10 @@
 #include "caller_cancellation.hpp"
 
+#include "hibiscuswall/core/timer.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -16,7 +17,7 @@
     explicit pending_open(asio::any_io_executor const& executor) : done{executor} {}
 
     std::optional<opened_stream> value;
-    asio::steady_timer done; // Cancelled when open() has ended.
+    clock_timer done; // Cancelled when open() has ended.
     bool ended = false;
 };
 
--- a/src/calls/claim_operation.hpp
+++ b/src/calls/claim_operation.hpp
@@ -7,9 +7,9 @@
 
 #include "hibiscuswall/calls/claim_bucket.hpp"
 #include "hibiscuswall/core/result.hpp"
+#include "hibiscuswall/core/timer.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <deque>
 #include <memory>
@@ -35,15 +35,15 @@
     claim holder;          // Claim that holds the key once the pending compare-and-swap has taken effect.
     std::optional<result<claim>> outcome; // Claim that holds the key; an empty claim for finishing.
     // Expires when there is an outcome, or when this operation is to run the rounds.
-    boost::asio::steady_timer wakeup;
+    clock_timer wakeup;
 
     explicit claim_operation(boost::asio::any_io_executor const& executor)
-        : wakeup{executor, boost::asio::steady_timer::time_point::max()}
+        : wakeup{executor, clock_timer::time_point::max()}
     {
     }
 
     // Ends the wait for wakeup, also one that begins later.
-    auto wake() -> void { wakeup.expires_at(boost::asio::steady_timer::time_point::min()); }
+    auto wake() -> void { wakeup.expires_at(clock_timer::time_point::min()); }
 };
 
 using claim_operation_ptr = std::shared_ptr<claim_operation>;
--- a/src/calls/gate_state.hpp
+++ b/src/calls/gate_state.hpp
@@ -7,10 +7,9 @@
 #include "hibiscuswall/calls/call_registry.hpp"
 #include "hibiscuswall/calls/forward_request.hpp"
 #include "hibiscuswall/calls/request_gate.hpp"
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/lifecycle/endpoint_machine.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <map>
 #include <set>
 
@@ -20,7 +19,7 @@
 struct waiting_call {
     explicit waiting_call(asio::io_context& io) : timer{io} {}
 
-    asio::steady_timer timer; // Cancelled when the decision is set.
+    clock_timer timer; // Cancelled when the decision is set.
     std::optional<admission_decision> decision;
 };
 
@@ -124,9 +123,9 @@
     time_point last_status_read_started_at; // Start of the latest successful status read.
     // read_engine_status_after() is reading for all waiting calls.
     bool shared_status_read_in_progress = false;
-    asio::steady_timer status_read_finished{context.io}; // Cancelled when that read ends.
-    bool engine_matches_order = false;                   // The latest status reported the ordered weights.
-    std::uint64_t cold_resets = 0;                       // Resets of the limit to its cold value.
+    clock_timer status_read_finished{context.io};      // Cancelled when that read ends.
+    bool engine_matches_order = false;                 // The latest status reported the ordered weights.
+    std::uint64_t cold_resets = 0;                     // Resets of the limit to its cold value.
     std::string instance;                              // Engine instance in the last status; empty: unknown.
     engine_state reported_state = engine_state::ready; // In the last status.
     std::function<void(request_traffic const&)> request_traffic_callback;
--- a/src/core/sleep.cpp
+++ b/src/core/sleep.cpp
@@ -1,7 +1,8 @@
 #include "hibiscuswall/core/sleep.hpp"
 
+#include "hibiscuswall/core/timer.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -9,7 +10,7 @@
 
 auto sleep_for(milliseconds duration) -> boost::asio::awaitable<void>
 {
-    auto timer = boost::asio::steady_timer{co_await boost::asio::this_coro::executor, duration};
+    auto timer = clock_timer{co_await boost::asio::this_coro::executor, duration};
     co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -272,7 +272,7 @@
     auto set_expiry() -> void
     {
         if (deadline_)
-            connection_->stream.expires_at(*deadline_);
+            connection_->stream.expires_after(*deadline_ - clock::now());
         else
             connection_->stream.expires_after(options_.timeout);
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include "read_limit.hpp"
 #include "unread_time.hpp"
 
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/http/error_body.hpp"
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
@@ -12,7 +13,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -250,7 +250,7 @@
         if (code) {
             // Out of descriptors, for example: accept again after a pause instead of spinning.
             log_event(log_level::warning, "accept_failed", {{"reason", code.message()}});
-            auto timer = asio::steady_timer{io, milliseconds{50}};
+            auto timer = clock_timer{io, milliseconds{50}};
             co_await timer.async_wait(awaitable_tuple);
             continue;
         }
--- a/src/http/read_limit.hpp
+++ b/src/http/read_limit.hpp
@@ -7,8 +7,8 @@
 //   if (limit.stop()) answer 408;
 
 #include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/core/timer.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <memory>
@@ -45,7 +45,7 @@
         {
         }
 
-        boost::asio::steady_timer timer;
+        clock_timer timer;
         boost::beast::tcp_stream& stream;
         bool stopped = false;
         bool fired = false;
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -77,7 +77,7 @@
 
 auto call_relay::wait_for_slot(relayed_call& call) -> asio::awaitable<void>
 {
-    auto timer = asio::steady_timer{io_, call.queue_entry.until};
+    auto timer = clock_timer{io_, call.queue_entry.until};
     call.wait_timer = &timer;
     waiting_calls_[&call.queue_entry] = &call;
     dispatch_waiting();
--- a/src/serving/endpoint_connection.cpp
+++ b/src/serving/endpoint_connection.cpp
@@ -31,7 +31,7 @@
 
 auto endpoint_connection::send(std::string const& bytes, time_point deadline) -> asio::awaitable<bool>
 {
-    stream_.expires_at(deadline);
+    stream_.expires_after(deadline - clock::now());
     auto [code, size] = co_await asio::async_write(stream_, asio::buffer(bytes), awaitable_tuple);
     co_return !code;
 }
@@ -39,7 +39,7 @@
 auto endpoint_connection::receive(time_point deadline) -> asio::awaitable<std::string_view>
 {
     if (buffer_.empty()) buffer_.resize(receive_buffer_size);
-    stream_.expires_at(deadline);
+    stream_.expires_after(deadline - clock::now());
     auto [code, size] = co_await stream_.async_read_some(asio::buffer(buffer_), awaitable_tuple);
     if (!code) co_return std::string_view{buffer_.data(), size};
     end_ = connection_end::reset;
--- a/src/weights/link_budget.cpp
+++ b/src/weights/link_budget.cpp
@@ -91,7 +91,7 @@
     auto const ticket = next_ticket_++;
     while (serving_ != ticket)
         co_await turn_.async_wait(awaitable_tuple);
-    auto timer = boost::asio::steady_timer{io_};
+    auto timer = clock_timer{io_};
     // Client calls may increase the debt during the wait.
     auto const latest =
         has_request_traffic_ ? clock::now() + bucket_.max_transfer_wait(bytes) : time_point::max();
--- a/src/weights/verifier.cpp
+++ b/src/weights/verifier.cpp
@@ -62,8 +62,7 @@
 
 auto verifier::matches(std::vector<chunk_bytes> parts, std::string expected) -> boost::asio::awaitable<bool>
 {
-    auto const pending =
-        std::make_shared<waiter>(waiter{boost::asio::steady_timer{io_, time_point::max()}, false, false});
+    auto const pending = std::make_shared<waiter>(waiter{clock_timer{io_, time_point::max()}, false, false});
     auto const id = next_id_++;
     while (true) {
         auto work = job{id, parts, expected};
--- a/standins/support/key_value_table.cpp
+++ b/standins/support/key_value_table.cpp
@@ -169,7 +169,7 @@
     auto const after = number(request, "after");
     auto const wait = milliseconds{static_cast<long long>(number(request, "waitMs"))};
     auto const deadline = clock::now() + std::clamp(wait, milliseconds{0}, longest_watch);
-    auto timer = asio::steady_timer{io_};
+    auto timer = clock_timer{io_};
     out.on_disconnect([&timer] { timer.cancel(); });
     waiting_.insert(&timer);
     most_waiting_ = std::max(most_waiting_, waiting_.size());
--- a/standins/support/key_value_table.hpp
+++ b/standins/support/key_value_table.hpp
@@ -8,10 +8,10 @@
 //   table.down = true;               // every call answers 503
 
 #include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/core/timer.hpp"
 #include "hibiscuswall/http/http_router.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -93,7 +93,7 @@
     std::deque<std::pair<std::string, entry>> replaced_; // values that keys had, oldest first
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t next_lease_ = 1;
-    std::set<asio::steady_timer*> waiting_;
+    std::set<clock_timer*> waiting_;
     std::size_t most_waiting_ = 0;
 };
 
--- a/standins/support/proxy_connection.hpp
+++ b/standins/support/proxy_connection.hpp
@@ -9,12 +9,12 @@
 #include "rate_limiter.hpp"
 
 #include "hibiscuswall/core/random_source.hpp"
+#include "hibiscuswall/core/timer.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -55,7 +55,7 @@
         tcp::socket& from;
         tcp::socket& to;
         bool answer; // from the target to the caller
-        boost::asio::steady_timer wake;
+        clock_timer wake;
         std::deque<piece> queue;
         std::size_t sent = 0;
     };
--- a/standins/support/worker_slots.hpp
+++ b/standins/support/worker_slots.hpp
@@ -4,11 +4,11 @@
 //   co_await slots.acquire(priority);  ...;  slots.release();
 
 #include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/core/timer.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -27,7 +27,7 @@
         if (running_ < places_) {
             ++running_;
         } else {
-            auto timer = boost::asio::steady_timer{io_, boost::asio::steady_timer::time_point::max()};
+            auto timer = clock_timer{io_, clock_timer::time_point::max()};
             waiting_.emplace(priority, &timer);
             co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         }
@@ -54,7 +54,7 @@
     int places_;
     int running_ = 0;
     int most_running_ = 0;
-    std::multimap<int, boost::asio::steady_timer*, std::greater<>> waiting_;
+    std::multimap<int, clock_timer*, std::greater<>> waiting_;
 };
 
 } // namespace hibiscuswall
