Send no load order that relies on a comparison from before a pause

Its agent was stopped for 4 s between comparing the staged chunks and its order; a chunk that it had compared turned bad meanwhile.

Cause: switch_version() compared and ordered with no limit on the time between.

Fix: an HTTP call can state until when it may be sent, checked right before the request is written, after the connection was made. The same cause in the layout with gates: the age of the fencing number was checked before the agent connected to the engine, it now holds where the order is written.

--- a/include/hibiscuswall/http/http_client.hpp
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -2,7 +2,8 @@
 // HTTP/1.1 client on one io_context, with kept-alive connections by address.
 //
 //   auto answer = co_await client.fetch(where, request, {.timeout = milliseconds{500}});
-//   if (!answer) ...  // connect_failed: no byte was sent; others, such as connection_lost: it may have run
+//   if (!answer) ...  // connect_failed, deadline_exceeded: no byte was sent
+//                     // others, such as connection_lost: it may have run
 //
 //   auto opened = co_await client.open(where, request, {});
 //   while (true) {
@@ -43,6 +44,9 @@
                                          // whether the request was received
     bool keep_connection = true;         // for later calls; false: closed after the answer
     std::string_view purpose = "data";   // whose bytes these are, see traffic(); "data": requests and weights
+    // The request is not written later than this: the call then fails as deadline_exceeded, and no byte was
+    // sent. For requests whose basis expires, such as an order that follows from an observation.
+    std::optional<time_point> send_by{};
     bool may_end_with_connection = false; // accept a body without a length, for texts and chunks whose cut is
                                           // recognised by their syntax or digest
 };
--- a/include/hibiscuswall/platform/engine_client.hpp
+++ b/include/hibiscuswall/platform/engine_client.hpp
@@ -4,8 +4,9 @@
 //   auto engine = engine_client{client, where, milliseconds{1000}};
 //   auto status = co_await engine.status();
 //   auto order = load_order{...};
-//   auto loaded = co_await engine.load(order);
+//   auto loaded = co_await engine.load(order, send_by);
 //   // errors: fencing_outdated  the engine has seen this or a higher fencing number
+//   //         deadline_exceeded the order was not sent: send_by had passed
 //   //         load_rejected     the engine rejected the order and changed nothing
 //   //         connection_lost, transport_timeout   outcome unknown: read the status first
 
@@ -62,7 +63,9 @@
     }
 
     auto status() -> asio::awaitable<result<engine_status>>;
-    auto load(load_order order) -> asio::awaitable<result<void>>;
+
+    // send_by: when the fencing number and what else the order is based on expire.
+    auto load(load_order order, time_point send_by) -> asio::awaitable<result<void>>;
 
     // Cancels a request. Also succeeds if the engine no longer knows the request.
     auto cancel(std::string request_id) -> asio::awaitable<result<void>>;
--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -72,9 +72,10 @@
     auto stage(std::uint64_t version) -> asio::awaitable<void>;
     auto share_staged_chunks(std::uint64_t version) -> asio::awaitable<void>;
     auto set_paused(bool on) -> void;
-    // Carries out weights_action::load: pause, verify the staged chunks, order, await the engine's report.
+    // Carries out weights_action::load: pause, compare the staged chunks, order, await the engine's report.
     auto switch_version(std::uint64_t version) -> asio::awaitable<void>;
-    auto order(std::uint64_t version) -> asio::awaitable<platform::order_outcome>;
+    auto order_compared_chunks(manifest_ptr found, std::uint64_t version) -> asio::awaitable<bool>;
+    auto order(std::uint64_t version, time_point compared_at) -> asio::awaitable<platform::order_outcome>;
     auto await_switch(std::uint64_t version) -> asio::awaitable<void>;
     auto stage_chunks(manifest_ptr version, std::vector<bool> const& staged) -> asio::awaitable<bool>;
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -310,6 +310,8 @@
             held = std::move(made).value();
         }
         auto const reused = held->reused;
+        if (options.send_by && clock::now() > *options.send_by)
+            co_return fail(result_code::deadline_exceeded, where.text() + ": not sent before its deadline");
         held->stream.expires_after(options.timeout);
         auto [write_code, size] = co_await http::async_write(held->stream, message, awaitable_tuple);
         counts_of(options.purpose).sent += size;
--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-auto engine_client::load(load_order order) -> asio::awaitable<result<void>>
+auto engine_client::load(load_order order, time_point send_by) -> asio::awaitable<result<void>>
 {
     auto const body = nlohmann::json{{"order", "load"},
                                      {"model", order.model},
@@ -66,6 +66,7 @@
     options.timeout = load_timeout;
     options.connect_timeout = timeout_;
     options.fresh_connection = true;
+    options.send_by = send_by;
     auto response = co_await client_.fetch(address_, std::move(request), options);
     if (!response) co_return response.error();
     if (response.value().status == 409)
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -76,11 +76,6 @@
         auto const now = clock::now();
         if (is_current_ && !is_current_())
             co_return fail(result_code::cancelled, "the declared version changed");
-        if (now - taken_at > settings_.max_order_pause) {
-            last_error = fail(result_code::fencing_outdated,
-                              "process was paused between taking the fencing number and sending the order");
-            continue;
-        }
         if (!config_.confirmed(now))
             co_return fail(result_code::configuration_unconfirmed,
                            "no load order is sent while the configuration is unconfirmed");
@@ -88,10 +83,15 @@
                                 target.manifest_digest, number.value(), context_.self.control_address};
         context_.events.record("load_ordered",
                                {{"version", target.version}, {"fencing", std::to_string(number.value())}});
-        auto loaded = co_await engine_.load(std::move(order));
+        auto loaded = co_await engine_.load(std::move(order), taken_at + settings_.max_order_pause);
         if (loaded) co_return co_await probe(target, instance);
         last_error = loaded.error();
         if (last_error.code == result_code::fencing_outdated) continue;
+        if (last_error.code == result_code::deadline_exceeded) {
+            last_error = fail(result_code::fencing_outdated,
+                              "process was paused between taking the fencing number and sending the order");
+            continue;
+        }
         if (last_error.code == result_code::load_rejected) {
             auto const restarted = co_await has_restarted(instance);
             if (restarted) last_error = restart_error();
