Keep a manifest only as the version that was asked for

One bit of one manifest had flipped on its way from the origin.

Cause: store_manifest() kept a manifest under the version and model that its text states; nobody compared them with the request, and each later check of chunks goes by the manifest.

With the check the agent logs manifest_refused version=1 from=origin reason="it is that of model-a/3".

Fix: model and version are compared with the request, number and size of the chunks with the service's declaration, for manifests from the origin and from peers. A refused one leaves nothing behind, is logged with what was asked for, what came and from whom, and its sender (a peer) is not asked again for 5 s.

Tests: engine_weights.a_manifest_of_another_version_is_refused_and_asked_for_again failed before with "CHECK(fleet.engine.bad_loads.empty()) failed"; a_manifest_that_does_not_fit_the_declaration_of_its_service_is_refused failed with one of three altered manifests asked for.

--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -43,6 +43,11 @@
     [[nodiscard]] auto serves_newest_version() const -> bool;
 
 private:
+    struct manifest_text {
+        std::string text;
+        std::string sender; // name of the peer; empty: the origin
+    };
+
     // ---- reports
     auto report_loop() -> asio::awaitable<void>;
     auto read_report() -> asio::awaitable<bool>;
@@ -82,10 +87,16 @@
     // ---- manifests
     auto find_manifest(std::uint64_t version) -> asio::awaitable<manifest_ptr>;
     [[nodiscard]] auto source_fetchers(std::string const& id) const -> std::vector<member>;
-    auto manifest_from_source_fetchers(std::string const& id) -> asio::awaitable<std::optional<std::string>>;
-    auto manifest_from_peers(std::string id) -> asio::awaitable<std::optional<std::string>>;
-    auto manifest_from(member peer, std::string id) -> asio::awaitable<std::optional<std::string>>;
-    auto store_manifest(std::string const& text) -> manifest_ptr;
+    auto manifest_from_source_fetchers(std::uint64_t version, std::string const& id)
+        -> asio::awaitable<manifest_ptr>;
+    auto manifest_from_origin(std::uint64_t version) -> asio::awaitable<manifest_ptr>;
+    auto manifest_from_peers(std::uint64_t version, std::string const& id) -> asio::awaitable<manifest_ptr>;
+    auto manifest_from(member peer, std::string id) -> asio::awaitable<std::optional<manifest_text>>;
+    // Null if the text is not the manifest that was asked for: nothing of it is kept, and a peer that sent it
+    // is not asked again for a while.
+    auto store_manifest(std::uint64_t version, manifest_text const& received, time_point now) -> manifest_ptr;
+    auto check_manifest(std::uint64_t version, std::string const& text) const -> result<manifest>;
+    auto may_ask_for_manifest(member const& peer, time_point now) const -> bool;
     auto reserve(manifest_ptr const& version) -> void;
 
     process_context& context_;
@@ -107,7 +118,9 @@
     time_point reported_at_;
     std::vector<declared_version> declared_;          // versions of the engine's model
     std::map<std::uint64_t, manifest_ptr> manifests_; // by version
-    std::optional<std::uint64_t> staged_version_;     // version whose staged chunks are verified
+    // Peers that sent a wrong manifest, and until when they are not asked for one.
+    std::map<std::string, time_point, std::less<>> avoided_manifest_peers_;
+    std::optional<std::uint64_t> staged_version_; // version whose staged chunks are verified
     bool stage_known_ = false; // staged_version_ is known to match what the engine has staged
     std::optional<std::uint64_t> shared_version_; // version whose staged chunks were read back for peers
     std::map<std::uint64_t, time_point> complete_since_; // complete versions and when they became complete
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -18,8 +18,9 @@
 constexpr auto source_fetcher_poll_interval = milliseconds{100};
 // After this many polls the source is asked instead, although it can carry only few connections.
 constexpr auto max_source_fetcher_polls = 10;
-constexpr auto max_manifest_peers = std::size_t{3};     // peers asked one after another for a manifest
-constexpr auto max_kept_versions = std::size_t{3};      // versions whose chunks are kept for peers
+constexpr auto max_manifest_peers = std::size_t{3};       // peers asked one after another for a manifest
+constexpr auto manifest_peer_avoid_duration = seconds{5}; // after a peer sent a wrong manifest
+constexpr auto max_kept_versions = std::size_t{3};        // versions whose chunks are kept for peers
 constexpr auto same_region_receivers = std::size_t{8};  // agents per round that receive this host's holdings
 constexpr auto other_region_receivers = std::size_t{2}; // the same for agents of other regions
 constexpr auto complete_announce_rounds =
@@ -253,73 +254,120 @@
 
 // The source can carry only few connections, and its link is needed for chunks. So source fetchers read the
 // manifest from the source, and other agents ask them for it.
-auto engine_weights_controller::manifest_from_source_fetchers(std::string const& id)
-    -> asio::awaitable<std::optional<std::string>>
+auto engine_weights_controller::manifest_from_source_fetchers(std::uint64_t version, std::string const& id)
+    -> asio::awaitable<manifest_ptr>
 {
     auto const fetchers = source_fetchers(id);
     auto const is_self = [&](member const& agent) { return agent.name == context_.self.name; };
-    if (fetchers.empty() || std::any_of(fetchers.begin(), fetchers.end(), is_self)) co_return std::nullopt;
+    if (fetchers.empty() || std::any_of(fetchers.begin(), fetchers.end(), is_self)) co_return nullptr;
     for (auto round = 0; round < max_source_fetcher_polls; ++round) {
         co_await sleep_for(source_fetcher_poll_interval);
         auto const& peer = fetchers[context_.random.below(fetchers.size())];
-        if (auto text = co_await manifest_from(peer, id)) co_return text;
+        if (!may_ask_for_manifest(peer, clock::now())) continue;
+        auto const received = co_await manifest_from(peer, id);
+        if (!received) continue;
+        if (auto stored = store_manifest(version, *received, clock::now())) co_return stored;
     }
-    co_return std::nullopt;
+    co_return nullptr;
 }
 
 auto engine_weights_controller::find_manifest(std::uint64_t version) -> asio::awaitable<manifest_ptr>
 {
     auto const known = manifests_.find(version);
     if (known != manifests_.end()) co_return known->second;
-    auto const model = engine_service()->engine->model;
-    auto const number = std::to_string(version);
-    if (auto const fetched = co_await manifest_from_source_fetchers(weights_id(model, number)))
-        if (auto stored = store_manifest(*fetched)) co_return stored;
-    auto text = co_await origin_.manifest(model, number);
-    if (text) {
-        if (auto stored = store_manifest(text.value())) co_return stored;
-    }
+    auto const id = weights_id(engine_service()->engine->model, std::to_string(version));
+    if (auto found = co_await manifest_from_source_fetchers(version, id)) co_return found;
+    if (auto found = co_await manifest_from_origin(version)) co_return found;
     co_await directory_.refresh(clock::now());
-    auto from_peer = co_await manifest_from_peers(weights_id(model, number));
-    if (from_peer) co_return store_manifest(*from_peer);
-    log_event(
-        log_level::warning, "manifest_missing",
-        {{"version", weights_id(model, number)}, {"reason", text ? "malformed" : text.error().message}});
+    if (auto found = co_await manifest_from_peers(version, id)) co_return found;
+    log_event(log_level::warning, "manifest_missing", {{"version", id}});
     co_return nullptr;
 }
 
-auto engine_weights_controller::manifest_from_peers(std::string id)
-    -> asio::awaitable<std::optional<std::string>>
+auto engine_weights_controller::manifest_from_origin(std::uint64_t version) -> asio::awaitable<manifest_ptr>
+{
+    auto const model = engine_service()->engine->model;
+    auto const text = co_await origin_.manifest(model, std::to_string(version));
+    if (!text) {
+        log_event(
+            log_level::warning, "manifest_not_received",
+            {{"version", weights_id(model, std::to_string(version))}, {"reason", text.error().message}});
+        co_return nullptr;
+    }
+    auto const received = manifest_text{text.value(), {}};
+    co_return store_manifest(version, received, clock::now());
+}
+
+auto engine_weights_controller::manifest_from_peers(std::uint64_t version, std::string const& id)
+    -> asio::awaitable<manifest_ptr>
 {
     auto const agents = directory_.agents();
     for (auto tried = std::size_t{0}; tried < std::min(max_manifest_peers, agents.size()); ++tried) {
         auto const& peer = agents[context_.random.below(agents.size())];
-        if (peer.name == context_.self.name) continue;
-        if (auto text = co_await manifest_from(peer, id)) co_return text;
+        if (peer.name == context_.self.name || !may_ask_for_manifest(peer, clock::now())) continue;
+        auto const received = co_await manifest_from(peer, id);
+        if (!received) continue;
+        if (auto stored = store_manifest(version, *received, clock::now())) co_return stored;
     }
-    co_return std::nullopt;
+    co_return nullptr;
 }
 
 auto engine_weights_controller::manifest_from(member peer, std::string id)
-    -> asio::awaitable<std::optional<std::string>>
+    -> asio::awaitable<std::optional<manifest_text>>
 {
     auto params = nlohmann::json{{"version", std::move(id)}};
     auto response = co_await rpc_call(context_.client, peer.control_address, "weights.manifest",
                                       std::move(params), settings_.weights.peer_timeout);
-    if (response && response.value().is_object() && response.value().contains("manifest"))
-        co_return response.value().value("manifest", std::string{});
-    co_return std::nullopt;
+    if (!response || !response.value().is_object()) co_return std::nullopt;
+    auto const text = response.value().find("manifest");
+    if (text == response.value().end() || !text->is_string()) co_return std::nullopt;
+    co_return manifest_text{text->get<std::string>(), peer.name};
+}
+
+auto engine_weights_controller::may_ask_for_manifest(member const& peer, time_point now) const -> bool
+{
+    auto const avoided = avoided_manifest_peers_.find(peer.name);
+    return avoided == avoided_manifest_peers_.end() || now >= avoided->second;
 }
 
-auto engine_weights_controller::store_manifest(std::string const& text) -> manifest_ptr
+// A manifest has no digest of its own, so it may be altered on its way. What it says about itself is compared
+// with what was asked for and with the service's declaration. A wrong digest of a chunk shows in the
+// transfer.
+auto engine_weights_controller::check_manifest(std::uint64_t version, std::string const& text) const
+    -> result<manifest>
 {
     auto decoded = platform::decode_manifest(text);
-    if (!decoded) {
-        log_event(log_level::warning, "manifest_refused", {{"reason", decoded.error().message}});
+    if (!decoded) return decoded;
+    auto const& engine = *engine_service()->engine;
+    auto const& found = decoded.value();
+    if (found.id() != weights_id(engine.model, std::to_string(version)))
+        return fail(result_code::manifest_invalid, "it is that of " + found.id());
+    if (found.chunks.size() != engine.chunks)
+        return fail(result_code::manifest_invalid, std::to_string(found.chunks.size()) +
+                                                       " chunks, expected " + std::to_string(engine.chunks));
+    if (engine.chunk_bytes > 0 && found.chunks.front().size != engine.chunk_bytes)
+        return fail(result_code::manifest_invalid, std::to_string(found.chunks.front().size) +
+                                                       " bytes in a chunk, expected " +
+                                                       std::to_string(engine.chunk_bytes));
+    return decoded;
+}
+
+auto engine_weights_controller::store_manifest(std::uint64_t version, manifest_text const& received,
+                                               time_point now) -> manifest_ptr
+{
+    auto checked = check_manifest(version, received.text);
+    if (!checked) {
+        log_event(log_level::warning, "manifest_refused",
+                  {{"version", std::to_string(version)},
+                   {"from", received.sender.empty() ? "origin" : received.sender},
+                   {"reason", checked.error().message}});
+        context_.metrics_registry.count("weights_manifests_refused",
+                                        {{"from", received.sender.empty() ? "source" : "peer"}});
+        if (!received.sender.empty())
+            avoided_manifest_peers_[received.sender] = now + manifest_peer_avoid_duration;
         return nullptr;
     }
-    auto const version = std::strtoull(decoded.value().version.c_str(), nullptr, 10);
-    auto stored = std::make_shared<manifest const>(std::move(decoded).value());
+    auto stored = std::make_shared<manifest const>(std::move(checked).value());
     manifests_[version] = stored;
     reserve(stored);
     while (manifests_.size() > max_kept_versions) {
--- a/tests/unit/engine_weights_test.cpp
+++ b/tests/unit/engine_weights_test.cpp
@@ -49,3 +49,45 @@
     CHECK(has_staged(2));
     CHECK(fleet.metrics_registry.value("weights_orders_withheld") > 0);
 }
+
+// ---- manifests
+
+// One bit of a manifest flips on its way from the origin: the digit of its version, a letter of its model,
+// the size of its chunks. Guards against chunks that are staged and loaded as a version that they are not.
+TEST(engine_weights, a_manifest_of_another_version_is_refused_and_asked_for_again)
+{
+    auto altered = 0;
+    fleet.origin.alter = [&](std::uint64_t version, std::string text) {
+        if (version == 1 && altered++ == 0) text[text.rfind(":1}") + 1] = '3';
+        return text;
+    };
+    fleet.start();
+    CHECK(fleet.run_until([&] { return altered > 0; }));
+    fleet.declare(2);
+    CHECK(fleet.run_until([&] { return fleet.engine.loaded == 2; }));
+    fleet.declare(3);
+    CHECK(fleet.run_until([&] { return fleet.engine.loaded == 3; }));
+    CHECK(fleet.engine.bad_loads.empty());
+    CHECK(fleet.metrics_registry.value("weights_manifests_refused", {{"from", "source"}}) >= 1);
+}
+
+TEST(engine_weights, a_manifest_that_does_not_fit_the_declaration_of_its_service_is_refused)
+{
+    auto const alterations = std::vector<std::pair<std::string, std::string>>{
+        {"\"model\":\"m\"", "\"model\":\"l\""},
+        {"\"chunkBytes\":1024", "\"chunkBytes\":1025"},
+        {"\"chunkBytes\":1024", "\"chunkBytes\":9024"},
+    };
+    auto next = std::size_t{0};
+    fleet.origin.alter = [&](std::uint64_t version, std::string text) {
+        if (version != 2 || next == alterations.size()) return text;
+        auto const& [from, to] = alterations[next++];
+        return text.replace(text.find(from), from.size(), to);
+    };
+    fleet.start();
+    fleet.declare(2);
+    CHECK(fleet.run_until([&] { return fleet.engine.loaded == 2; }));
+    CHECK_EQUAL(alterations.size(), next);
+    CHECK(fleet.engine.bad_loads.empty());
+    CHECK(fleet.metrics_registry.value("weights_manifests_refused", {{"from", "source"}}) >= 3);
+}
