Ask for a manifest again when the chunks do not match it

A digest of one chunk that was altered in the manifest kept the version from its engine for good, and from all peers that took the manifest from there; in the layout with gates a wrong digest of the whole version failed it for good.

Fix: three copies of one chunk that do not match, or three holders that do not know its digest, end a transfer with chunk_corrupt. The source is then asked for the manifest; one that differs replaces the former and keeps the chunks that both have, an equal one lets the transfer start again. Both layouts.

--- a/include/hibiscuswall/weights/chunk_store.hpp
+++ b/include/hibiscuswall/weights/chunk_store.hpp
@@ -21,7 +21,8 @@
 public:
     explicit chunk_store(std::uint64_t limit_bytes) : limit_{limit_bytes} {}
 
-    // Reserves memory for every chunk of the version, held or not. Repeating it has no effect.
+    // Reserves memory for every chunk of the version, held or not. Repeating it has no effect; with another
+    // manifest of the same version it replaces the former one.
     auto reserve(manifest_ptr const& version) -> result<void>;
     auto release(std::string const& id) -> void;
 
@@ -45,6 +46,8 @@
     [[nodiscard]] auto held_bytes() const -> std::uint64_t;
 
 private:
+    auto release_chunks(manifest const& version) -> void;
+
     struct stored_chunk {
         chunk_bytes bytes;      // null until verified
         std::uint64_t size = 0; // from the manifest
--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -74,6 +74,8 @@
     auto schedule_source_fetches(time_point now) -> void;
     auto fetch_version(std::uint64_t version) -> asio::awaitable<void>;
     auto run_transfer(manifest_ptr version) -> asio::awaitable<bool>;
+    // Asks the origin for the manifest again after the chunks did not match it.
+    auto replace_doubted_manifest(std::uint64_t version) -> asio::awaitable<void>;
     auto stage(std::uint64_t version) -> asio::awaitable<void>;
     auto share_staged_chunks(std::uint64_t version) -> asio::awaitable<void>;
     auto set_paused(bool on) -> void;
--- a/include/hibiscuswall/weights/transfer.hpp
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -6,6 +6,8 @@
 //   auto done = co_await running->run();
 //   // errors: cancelled          after cancel()
 //   //         manifest_invalid   the chunks match their digests, the complete version does not match its own
+//   //         chunk_corrupt      several copies of a chunk do not match the manifest, which may be the one
+//   //                            that is wrong: fetch it again
 //
 // A failed fetch is not an error: the chunk plan selects another host for the chunk.
 
@@ -21,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -76,6 +79,7 @@
     auto from_peer(std::size_t chunk, std::string name) -> asio::awaitable<fetch_result>;
     auto read_chunk(std::unique_ptr<http_stream> stream, std::uint64_t size) -> asio::awaitable<fetch_result>;
     auto record_failure(chunk_fetch const& what, fetch_failure failure, address const& source) -> void;
+    auto count_mismatch(chunk_fetch const& what, fetch_failure failure) -> void;
     auto verify_version() -> asio::awaitable<bool>;
     auto wait(milliseconds max_duration) -> asio::awaitable<void>;
     auto wake() -> void { wake_timer_.cancel(); }
@@ -89,7 +93,9 @@
     std::map<std::string, address, std::less<>> addresses_;
     time_point hosts_refreshed_;
     clock_timer wake_timer_;
-    std::size_t polls_ = 0; // polls of peers in flight
+    std::size_t polls_ = 0;                 // polls of peers in flight
+    std::map<std::size_t, int> mismatches_; // by chunk, see count_mismatch()
+    std::optional<std::size_t> doubted_chunk_;
     bool cancelled_ = false;
 };
 
--- a/src/weights/chunk_store.cpp
+++ b/src/weights/chunk_store.cpp
@@ -17,10 +17,8 @@
 
 auto chunk_store::reserve(manifest_ptr const& version) -> result<void>
 {
-    if (auto const found = versions_.find(version->id()); found != versions_.end()) {
-        if (found->second->digest == version->digest) return success();
-        release(version->id());
-    }
+    auto const replaced = this->version(version->id());
+    if (replaced != nullptr && replaced->digest == version->digest) return success();
     auto const chunks = distinct_chunks(*version);
     auto added = std::uint64_t{0};
     for (auto const& [digest, size] : chunks)
@@ -36,6 +34,7 @@
     }
     reserved_ += added;
     versions_[version->id()] = version;
+    if (replaced != nullptr) release_chunks(*replaced); // after the new ones: chunks of both stay held
     return success();
 }
 
@@ -45,7 +44,12 @@
     if (found == versions_.end()) return;
     auto const version = found->second;
     versions_.erase(found);
-    for (auto const& [digest, size] : distinct_chunks(*version)) {
+    release_chunks(*version);
+}
+
+auto chunk_store::release_chunks(manifest const& version) -> void
+{
+    for (auto const& [digest, size] : distinct_chunks(version)) {
         auto const entry = chunks_.find(digest);
         if (entry == chunks_.end() || --entry->second.references > 0) continue;
         reserved_ -= entry->second.size;
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -228,10 +228,25 @@
                         clock::now() - declared_.back().received_at < new_version_window;
     auto const transferred = co_await running->run(!is_new);
     transfers_.erase(number);
-    if (!transferred)
-        log_event(log_level::info, "transfer_ended",
-                  {{"version", version->id()}, {"reason", transferred.error().message}});
-    co_return transferred.has_value();
+    if (transferred) co_return true;
+    log_event(log_level::info, "transfer_ended",
+              {{"version", version->id()}, {"reason", transferred.error().message}});
+    if (transferred.error().code == result_code::chunk_corrupt) co_await replace_doubted_manifest(number);
+    co_return false;
+}
+
+auto engine_weights_controller::replace_doubted_manifest(std::uint64_t version) -> asio::awaitable<void>
+{
+    auto const known = manifests_.find(version);
+    if (known == manifests_.end()) co_return;
+    auto const before = known->second->digest;
+    auto const received = co_await manifest_from_origin(version);
+    auto const outcome = received == nullptr          ? "not_received"
+                         : received->digest == before ? "same"
+                                                      : "replaced";
+    log_event(log_level::warning, "manifest_doubted",
+              {{"version", std::to_string(version)}, {"outcome", outcome}});
+    context_.metrics_registry.count("weights_manifests_doubted", {{"outcome", outcome}});
 }
 
 // ---- manifests
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -21,6 +21,8 @@
 // Peers polled before the first source fetch, so that a restarted host does not fetch from the source what
 // its region already holds.
 constexpr auto max_survey_peers = std::size_t{16};
+// Copies of one chunk that do not match the manifest until the manifest is doubted.
+constexpr auto max_mismatches = 3;
 constexpr auto survey_timeout = milliseconds{500}; // for the responses of the surveyed peers
 
 auto failure_name(fetch_failure failure) -> std::string_view
@@ -110,6 +112,12 @@
                 version_->id() +
                     ": chunks match their digests, but the complete version does not; transfer ended");
         }
+        if (doubted_chunk_) {
+            cancelled_ = true;
+            co_return fail(result_code::chunk_corrupt, version_->id() + ": copies of chunk " +
+                                                           std::to_string(*doubted_chunk_) +
+                                                           " do not match the manifest; transfer ended");
+        }
         if (clock::now() - hosts_refreshed_ > hosts_refresh_interval) {
             refresh_hosts();
             record_held_chunks();
@@ -233,9 +241,19 @@
     wake();
 }
 
+// A wrong digest in the manifest looks like chunks that are always corrupt, or, since peers find a chunk by
+// its digest, like peers that hold the chunk and do not have it.
+auto transfer::count_mismatch(chunk_fetch const& what, fetch_failure failure) -> void
+{
+    auto const is_unknown_to_holder = failure == fetch_failure::absent && !what.from_source();
+    if (failure != fetch_failure::corrupt && !is_unknown_to_holder) return;
+    if (++mismatches_[what.chunk] >= max_mismatches) doubted_chunk_ = what.chunk;
+}
+
 auto transfer::record_failure(chunk_fetch const& what, fetch_failure failure, address const& source) -> void
 {
     plan_.on_fetch_failed(what, failure, clock::now());
+    count_mismatch(what, failure);
     resources_.context.metrics_registry.count("weights_fetch_failures", {{"reason", failure_name(failure)}});
     if (failure == fetch_failure::busy || failure == fetch_failure::limited ||
         failure == fetch_failure::absent)
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -83,10 +83,11 @@
     auto const id = weights_id(target.model, target.version);
     auto const version = co_await obtain_manifest(generation, target);
     if (version == nullptr || !is_current(generation)) co_return;
-    auto const weights = served_weights{target.model, target.adapter, target.version, version->digest};
+    auto weights = served_weights{target.model, target.adapter, target.version, version->digest};
     co_await adopt_loaded(weights);
-    auto const transferred = co_await transfer_chunks(generation, id);
+    auto const transferred = co_await transfer_chunks(generation, target);
     if (!transferred || !is_current(generation)) co_return;
+    weights.manifest_digest = record_of(id).chunks->digest; // the transfer may have replaced the manifest
     auto const active = co_await activate(generation, target, weights);
     if (!active || !is_current(generation)) co_return;
     co_await watch_engine(generation, weights);
@@ -142,17 +143,26 @@
     if (text.empty() && !asks_source)
         co_return fail(result_code::chunk_unavailable,
                        id + ": no peer has the manifest yet; retrying before asking the source");
-    if (text.empty()) {
-        auto fetched = co_await source_.manifest(target.model, target.version);
-        if (!fetched) co_return fetched.error();
-        text = std::move(fetched).value();
-    }
+    if (text.empty()) co_return co_await manifest_from_source(target);
+    co_return check_manifest(id, text);
+}
+
+auto weights_service::manifest_from_source(model_serving target) -> asio::awaitable<result<manifest_ptr>>
+{
+    auto fetched = co_await source_.manifest(target.model, target.version);
+    if (!fetched) co_return fetched.error();
+    co_return check_manifest(weights_id(target.model, target.version), fetched.value());
+}
+
+auto weights_service::check_manifest(std::string const& id, std::string const& text) const
+    -> result<manifest_ptr>
+{
     auto parsed = parse_manifest(text);
-    if (!parsed) co_return parsed.error();
+    if (!parsed) return parsed.error();
     if (parsed.value().id() != id)
-        co_return fail(result_code::manifest_invalid,
-                       id + ": expected its manifest, received that of " + parsed.value().id());
-    co_return std::make_shared<manifest const>(std::move(parsed).value());
+        return fail(result_code::manifest_invalid,
+                    id + ": expected its manifest, received that of " + parsed.value().id());
+    return manifest_ptr{std::make_shared<manifest const>(std::move(parsed).value())};
 }
 
 // Reserves memory for the version. Releases all other versions except the active one, which stays until the
@@ -174,9 +184,49 @@
     return reserved;
 }
 
-auto weights_service::transfer_chunks(std::uint64_t generation, std::string id) -> asio::awaitable<bool>
+auto weights_service::transfer_chunks(std::uint64_t generation, model_serving target) -> asio::awaitable<bool>
 {
+    auto const id = weights_id(target.model, target.version);
     if (record_of(id).machine.state() == version_state::declared) advance(id, version_event::transfer_begun);
+    while (true) {
+        auto const done = co_await run_transfer(generation, id);
+        if (!is_current(generation)) co_return false;
+        if (done) co_return true;
+        auto const code = done.error().code;
+        auto replaced = false;
+        if (code == result_code::chunk_corrupt || code == result_code::manifest_invalid)
+            replaced = co_await replace_doubted_manifest(generation, target);
+        if (!is_current(generation)) co_return false;
+        // Chunks that do not match a confirmed manifest were altered on their way, and are fetched again.
+        if (replaced || code == result_code::chunk_corrupt) continue;
+        mark_failed(id, done.error());
+        co_return false;
+    }
+}
+
+auto weights_service::replace_doubted_manifest(std::uint64_t generation, model_serving target)
+    -> asio::awaitable<bool>
+{
+    auto const id = weights_id(target.model, target.version);
+    auto const before = record_of(id).chunks->digest;
+    auto const received = co_await manifest_from_source(target);
+    if (!is_current(generation)) co_return false;
+    auto const replaced = received && received.value()->digest != before;
+    log_event(log_level::warning, "manifest_doubted",
+              {{"version", id},
+               {"outcome", replaced   ? "replaced"
+                           : received ? "same"
+                                      : "not_received"}});
+    if (!replaced) {
+        co_await sleep_for(retry_delay);
+        co_return false;
+    }
+    record_of(id).chunks = received.value();
+    co_return reserve_chunks(received.value()).has_value();
+}
+
+auto weights_service::run_transfer(std::uint64_t generation, std::string id) -> asio::awaitable<result<void>>
+{
     auto const version = record_of(id).chunks;
     auto const own_transfer = std::make_shared<transfer>(
         resources_, version, [this] { return target_ ? region_hosts(*target_) : std::vector<member>{}; });
@@ -184,16 +234,12 @@
     auto const begun = clock::now();
     auto done = co_await own_transfer->run();
     if (transfer_ == own_transfer) transfer_.reset();
-    if (!is_current(generation)) co_return false;
-    if (!done) {
-        mark_failed(id, done.error());
-        co_return false;
-    }
+    if (!done || !is_current(generation)) co_return done;
     auto const took = std::chrono::duration<double>(clock::now() - begun).count();
     context_.metrics_registry.set("weights_transfer_seconds", {{"version", id}}, took);
     if (record_of(id).machine.state() == version_state::transferring)
         advance(id, version_event::transfer_verified);
-    co_return true;
+    co_return success();
 }
 
 // ---- records and status
--- a/tests/unit/engine_weights_test.cpp
+++ b/tests/unit/engine_weights_test.cpp
@@ -91,3 +91,21 @@
     CHECK(fleet.engine.bad_loads.empty());
     CHECK(fleet.metrics_registry.value("weights_manifests_refused", {{"from", "source"}}) >= 3);
 }
+
+// One digit of a chunk's digest is altered on its way from the origin. Guards against an agent that fetches
+// the chunk for ever, because no copy matches, and passes the wrong manifest on.
+TEST(engine_weights, a_manifest_with_a_wrong_digest_is_asked_for_again)
+{
+    auto altered = 0;
+    fleet.origin.alter = [&](std::uint64_t version, std::string text) {
+        auto const first_digit = text.find(":[\"") + 3;
+        if (version == 2 && altered++ == 0) text[first_digit] = text[first_digit] == '0' ? '1' : '0';
+        return text;
+    };
+    fleet.start();
+    fleet.declare(2);
+    CHECK(fleet.run_until([&] { return fleet.engine.loaded == 2; }));
+    CHECK(altered > 1);
+    CHECK(fleet.engine.bad_loads.empty());
+    CHECK(fleet.metrics_registry.value("weights_manifests_doubted", {{"outcome", "replaced"}}) == 1);
+}
