Count the grace period of old weights from the declaration, not from its receipt

Cause: a declaration in the store has no time, and each process took its receipt for it. The receipt is late by a pause of the process or of its machine, or by calls to the store that got no response.

Evidence: the stopped processes log process_paused for_ms=5025 and weights_declared declared_ms_ago=5025, the others declared_ms_ago=0.

Fix: a change counts as made when the process last knew that there was none: at its receipt, at the begin of a pause that has just ended, or at the last response before failed calls. Pauses are seen in the time between ticks, on the clock that counts stops and suspensions. Peers pass declarations on with their age.

--- a/include/hibiscuswall/daemon/daemon_base.hpp
+++ b/include/hibiscuswall/daemon/daemon_base.hpp
@@ -7,6 +7,7 @@
 //   base.on_stop([&]() -> asio::awaitable<void> { announce leaving; drain; });
 //   return base.run();                             // until the stop handlers are done; exit code
 
+#include "hibiscuswall/core/pause_detector.hpp"
 #include "hibiscuswall/core/process_context.hpp"
 #include "hibiscuswall/http/http_server.hpp"
 
@@ -27,6 +28,9 @@
 
     [[nodiscard]] auto context() -> process_context&;
 
+    // Pauses of this process, known while it runs.
+    [[nodiscard]] auto pauses() const -> pause_detector const&;
+
     // The control listener serves context().control.
     auto listen_control(address const& where, http_server_limits limits) -> result<void>;
 
--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -2,12 +2,16 @@
 // This process's copy of the state that operators declared: the configuration, the failure domains that are
 // out of service, and the weights version of each model. Does no network I/O.
 //
-//   declared.apply(change, now);                     // one change from the store
-//   declared.replace("op/", items, revision, now);   // complete content of a key prefix
+//   declared.apply(change, now, since);                     // one change from the store
+//   declared.replace("op/", items, revision, now, since);   // complete content of a key prefix
 //   declared.map();                                  // null until the first configuration was applied
 //   declared.min_version("m", now);                  // oldest weights version that a request may start on
 //
 // Never goes back: a change is ignored unless its revision is newer than the known revision of its key.
+//
+// The grace period of an old weights version runs from its successor's declaration, which this process may
+// receive late: after a pause, or after a call to the store that got no response. So each change comes with
+// the earliest time at which it may have been declared.
 
 #include "hibiscuswall/core/time.hpp"
 #include "hibiscuswall/serving/placement.hpp"
@@ -33,20 +37,31 @@
 
 struct declared_weights {
     std::uint64_t version = 1;
-    time_point received_at; // when this process received the declaration
+    time_point declared_at; // earliest time at which it may have been declared
 };
 
 class declared_state {
 public:
     explicit declared_state(declared_state_settings settings) : settings_{settings} {}
 
-    auto apply(store_change const& change, time_point now) -> void;
+    // since: earliest time at which the change may have been declared.
+    auto apply(store_change const& change, time_point now, time_point since) -> void;
+    auto apply(store_change const& change, time_point now) -> void { apply(change, now, now); }
 
     // Merges the complete content of a prefix, as of the given store revision: newer items are stored, and
     // known keys that are absent are deleted unless they changed after that revision. Revision 0 comes from a
     // peer that has no declared state yet and changes nothing.
+    // since: earliest time at which those that this process lacks may have been declared.
+    auto replace(std::string_view prefix, std::vector<store_item> const& items, std::uint64_t revision,
+                 time_point now, time_point since) -> void;
     auto replace(std::string_view prefix, std::vector<store_item> const& items, std::uint64_t revision,
-                 time_point now) -> void;
+                 time_point now) -> void
+    {
+        replace(prefix, items, revision, now, now);
+    }
+
+    // Takes over from a peer that a weights declaration was made at this time, if that is earlier than known.
+    auto correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at) -> void;
 
     // Records that this state is complete up to the revision, after a peer sent its complete state.
     auto agree(std::uint64_t revision) -> void { revision_ = std::max(revision_, revision); }
@@ -72,16 +87,20 @@
     // Known operator keys that begin with prefix; sent to peers that lack changes from the store.
     [[nodiscard]] auto items(std::string_view prefix) const -> std::vector<store_item>;
 
+    // Time since the weights declarations under the prefix were made, by key.
+    [[nodiscard]] auto ages(std::string_view prefix, time_point now) const
+        -> std::map<std::string, milliseconds, std::less<>>;
+
     // Sets the callback that runs after each applied change.
     auto on_change(std::function<void()> callback) -> void { on_change_ = std::move(callback); }
 
 private:
-    auto put_item(std::string_view key, std::string const& value, std::uint64_t revision,
-                  time_point received_at) -> bool;
+    auto put_item(std::string_view key, std::string const& value, std::uint64_t revision, time_point now,
+                  time_point since) -> bool;
     auto delete_item(std::string_view key, std::uint64_t revision) -> bool;
     auto apply_configuration(std::string const& value, std::uint64_t revision) -> void;
-    auto apply_weights_version(std::string const& model, std::string const& value, time_point received_at)
-        -> void;
+    auto apply_weights_version(std::string const& model, std::string const& value, time_point now,
+                               time_point since) -> void;
 
     declared_state_settings settings_;
     service_map_ptr map_;
--- a/include/hibiscuswall/fleet/operator_sync.hpp
+++ b/include/hibiscuswall/fleet/operator_sync.hpp
@@ -12,6 +12,7 @@
 #include "hibiscuswall/fleet/declared_state.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -21,6 +22,9 @@
 struct operator_snapshot {
     std::uint64_t revision = 0;    // newest change that the snapshot contains; 0: the peer has no state
     std::vector<store_item> items; // all existing keys of the requested prefix
+    // Time since the weights declarations among the items were made, by key. Peers of earlier builds send
+    // none.
+    std::map<std::string, milliseconds, std::less<>> ages{};
 };
 
 // JSON text, as sent between daemons.
--- a/include/hibiscuswall/fleet/prefix_watcher.hpp
+++ b/include/hibiscuswall/fleet/prefix_watcher.hpp
@@ -7,6 +7,7 @@
 //   asio::co_spawn(io, watcher.run(), asio::detached);
 //   watcher.confirmed_at();        // time of the store's last response
 
+#include "hibiscuswall/core/pause_detector.hpp"
 #include "hibiscuswall/core/random_source.hpp"
 #include "platform/key_value_client.hpp"
 
@@ -23,7 +24,8 @@
     milliseconds batch_delay{0}; // pause after a change, so that one call covers changes that follow closely
     milliseconds retry_delay_step{
         100}; // delay before a retry, for each consecutive failure; 50 to 100 % of it is used
-    milliseconds max_retry_delay{500}; // upper bound of the delay before a retry
+    milliseconds max_retry_delay{500};      // upper bound of the delay before a retry
+    pause_detector const* pauses = nullptr; // of this process; null: it counts as running without pauses
 };
 
 struct prefix_watcher_callbacks {
@@ -56,6 +58,10 @@
     // Store revision up to which every change under the prefix is known.
     [[nodiscard]] auto covered_revision() const -> std::uint64_t { return revision_; }
 
+    // During a callback: earliest time at which what it receives may have been written. Later than that, the
+    // store had confirmed to this process that nothing had changed.
+    [[nodiscard]] auto changed_since() const -> time_point { return changed_since_; }
+
     auto set_batch_delay(milliseconds delay) -> void { settings_.batch_delay = delay; }
 
     [[nodiscard]] auto confirmed_at() const -> time_point { return confirmed_at_; }
@@ -65,6 +71,7 @@
     auto read_all() -> asio::awaitable<result<void>>;
     auto watch_once() -> asio::awaitable<result<void>>;
     auto on_store_response() -> void;
+    [[nodiscard]] auto arrived_since(time_point now) const -> time_point;
     auto on_store_failure(error const& reason) -> asio::awaitable<void>;
     [[nodiscard]] auto recently_unavailable(time_point now) const -> bool;
 
@@ -79,7 +86,9 @@
     int consecutive_failures_ = 0;    // store calls that failed since the last response
     int short_watches_remaining_ = 0; // watches that still use short_watch_duration
     time_point confirmed_at_;
-    time_point recovered_at_; // time of the first response after failures
+    time_point complete_until_; // every change before this time is known
+    time_point changed_since_;  // see changed_since()
+    time_point recovered_at_;   // time of the first response after failures
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/weights/switch_schedule.hpp
+++ b/include/hibiscuswall/weights/switch_schedule.hpp
@@ -35,7 +35,7 @@
 
 struct declared_version {
     std::uint64_t version = 1;
-    time_point received_at;   // when the agent received the declaration
+    time_point declared_at;   // earliest time at which it may have been declared
     bool complete = false;    // every chunk is held and verified
     double held_fraction = 0; // fraction of the chunks that are held, 0 to 1
 };
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -1,6 +1,7 @@
 #include "hibiscuswall/daemon/daemon_base.hpp"
 
 #include "hibiscuswall/core/rendezvous.hpp"
+#include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_options.hpp"
 #include "hibiscuswall/daemon/held_signals.hpp"
 #include "hibiscuswall/observe/background.hpp"
@@ -41,6 +42,7 @@
     std::vector<std::function<bool()>> ready_checks;
     std::vector<stop_step> stop_steps;
     std::function<void()> reload;
+    pause_detector pauses;
     bool stopping = false;
 
     state(member self, std::uint64_t seed)
@@ -60,6 +62,7 @@
     auto add_routes() -> void;
     auto stop_on(asio::signal_set& signals) -> asio::awaitable<void>;
     auto reload_on(asio::signal_set& signals) -> asio::awaitable<void>;
+    auto detect_pauses() -> asio::awaitable<void>;
 };
 
 auto daemon_base::state::add_routes() -> void
@@ -116,6 +119,19 @@
     }
 }
 
+auto daemon_base::state::detect_pauses() -> asio::awaitable<void>
+{
+    while (true) {
+        auto const gap = pauses.tick(clock::now());
+        if (gap.count() > 0) {
+            metrics_registry.count("process_pauses");
+            auto const gap_ms = std::chrono::duration_cast<milliseconds>(gap).count();
+            log_event(log_level::warning, "process_paused", {{"for_ms", std::to_string(gap_ms)}});
+        }
+        co_await sleep_for(pause_detector::tick_interval);
+    }
+}
+
 daemon_base::daemon_base(member self, std::uint64_t seed)
     : state_{std::make_unique<state>(std::move(self), seed)}
 {
@@ -125,6 +141,7 @@
 daemon_base::~daemon_base() = default;
 
 auto daemon_base::context() -> process_context& { return state_->context; }
+auto daemon_base::pauses() const -> pause_detector const& { return state_->pauses; }
 
 auto daemon_base::listen_control(address const& where, http_server_limits limits) -> result<void>
 {
@@ -148,6 +165,9 @@
     start_loop(
         state_->io.get_executor(), "reload", [&] { return state_->reload_on(reloads); },
         &state_->metrics_registry);
+    start_loop(
+        state_->io.get_executor(), "pauses", [this] { return state_->detect_pauses(); },
+        &state_->metrics_registry);
     release_signals();
     auto const& self = state_->context.self;
     log_event(log_level::info, "started", {{"region", self.region}, {"failure_domain", self.failure_domain}});
--- a/src/daemon/direct_agent.cpp
+++ b/src/daemon/direct_agent.cpp
@@ -74,9 +74,10 @@
     }
 
     // Entries tell an agent whose watch went silent that there is a newer declaration.
-    static auto declaration_settings() -> prefix_watcher_settings
+    auto declaration_settings() const -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
+        settings.pauses = &base.pauses();
         settings.wait = declaration_wait;
         return settings;
     }
@@ -84,10 +85,11 @@
     auto declaration_events() -> prefix_watcher_callbacks
     {
         return {[this](store_range const& found, bool /*store_was_unavailable*/) {
-                    declared.replace(platform::weights_prefix, found.items, found.revision, clock::now());
+                    declared.replace(platform::weights_prefix, found.items, found.revision, clock::now(),
+                                     declarations.changed_since());
                 },
                 [this](store_change const& change, bool /*store_was_unavailable*/) {
-                    declared.apply(change, clock::now());
+                    declared.apply(change, clock::now(), declarations.changed_since());
                 }};
     }
 
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -155,10 +155,11 @@
         return std::max(min_watch_wait, settings.settle_time - settle_margin);
     }
 
-    static auto operator_settings(milliseconds wait) -> prefix_watcher_settings
+    auto operator_settings(milliseconds wait) const -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
         settings.wait = wait;
+        settings.pauses = &base.pauses();
         return settings;
     }
 
@@ -250,10 +251,11 @@
     auto operator_events() -> prefix_watcher_callbacks
     {
         return {[this](store_range const& found, bool /*store_was_unavailable*/) {
-                    declared.replace(platform::operator_prefix, found.items, found.revision, clock::now());
+                    declared.replace(platform::operator_prefix, found.items, found.revision, clock::now(),
+                                     operators.changed_since());
                 },
                 [this](store_change const& change, bool /*store_was_unavailable*/) {
-                    declared.apply(change, clock::now());
+                    declared.apply(change, clock::now(), operators.changed_since());
                 }};
     }
 
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -14,11 +14,16 @@
 constexpr auto version_switch_margin = milliseconds{950};
 constexpr auto max_declarations = std::size_t{8}; // kept for each model
 
+auto ms_text(clock::duration span) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
 } // namespace
 
-auto declared_state::apply(store_change const& change, time_point now) -> void
+auto declared_state::apply(store_change const& change, time_point now, time_point since) -> void
 {
-    auto const applied = change.value ? put_item(change.key, *change.value, change.revision, now)
+    auto const applied = change.value ? put_item(change.key, *change.value, change.revision, now, since)
                                       : delete_item(change.key, change.revision);
     revision_ = std::max(revision_, change.revision);
     if (!applied) return;
@@ -27,18 +32,18 @@
 }
 
 auto declared_state::replace(std::string_view prefix, std::vector<store_item> const& items,
-                             std::uint64_t revision, time_point now) -> void
+                             std::uint64_t revision, time_point now, time_point since) -> void
 {
     // Store revisions start above 0; 0 comes from a peer that has no declared state yet.
     if (revision == 0) return;
     // Items found by the first read may have been declared long ago, so they get no grace period.
     auto const is_first = read_prefixes_.insert(std::string{prefix}).second;
-    auto const received_at = is_first ? now - settings_.old_version_grace_period : now;
+    if (is_first) since = now - settings_.old_version_grace_period;
     auto present = std::set<std::string_view>{};
     auto applied = false;
     for (auto const& item : items) {
         present.insert(item.key);
-        applied = put_item(item.key, item.value, item.revision, received_at) || applied;
+        applied = put_item(item.key, item.value, item.revision, now, since) || applied;
     }
     auto deleted_keys = std::vector<std::string>{};
     for (auto const& [key, item] : items_)
@@ -54,7 +59,7 @@
 }
 
 auto declared_state::put_item(std::string_view key, std::string const& value, std::uint64_t revision,
-                              time_point received_at) -> bool
+                              time_point now, time_point since) -> bool
 {
     auto const known = items_.find(key);
     if (known != items_.end() && known->second.revision >= revision) return false;
@@ -64,7 +69,7 @@
     if (platform::is_configuration(key)) apply_configuration(value, revision);
     if (auto const model = platform::declared_model(key)) {
         weights_revision_ = std::max(weights_revision_, revision);
-        apply_weights_version(*model, value, received_at);
+        apply_weights_version(*model, value, now, since);
     }
     if (auto domain = platform::evacuated_domain(key)) {
         log_event(log_level::info, "failure_domain_out",
@@ -106,8 +111,8 @@
                {"routes", std::to_string(map_->routes().size())}});
 }
 
-auto declared_state::apply_weights_version(std::string const& model, std::string const& value,
-                                           time_point received_at) -> void
+auto declared_state::apply_weights_version(std::string const& model, std::string const& value, time_point now,
+                                           time_point since) -> void
 {
     auto const version = platform::decode_weights_version(value);
     if (!version) {
@@ -117,10 +122,29 @@
     }
     auto& list = versions_[model];
     if (!list.empty() && list.back().version >= version.value()) return;
-    list.push_back({version.value(), received_at});
+    list.push_back({version.value(), since});
     if (list.size() > max_declarations) list.erase(list.begin());
     log_event(log_level::info, "weights_declared",
-              {{"model", model}, {"version", std::to_string(version.value())}});
+              {{"model", model},
+               {"version", std::to_string(version.value())},
+               {"declared_ms_ago", ms_text(now - since)}});
+}
+
+auto declared_state::correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at)
+    -> void
+{
+    auto const item = items_.find(key);
+    auto const model = platform::declared_model(key);
+    if (!model || item == items_.end() || item->second.revision != revision) return;
+    auto const found = versions_.find(*model);
+    if (found == versions_.end() || found->second.empty()) return;
+    auto& known = found->second.back().declared_at;
+    if (declared_at >= known) return;
+    log_event(log_level::info, "weights_declared_earlier",
+              {{"model", *model},
+               {"version", std::to_string(found->second.back().version)},
+               {"by_ms", ms_text(known - declared_at)}});
+    known = declared_at;
 }
 
 auto declared_state::declared_versions(std::string_view model) const -> std::span<declared_weights const>
@@ -140,11 +164,25 @@
 {
     auto oldest_allowed = std::uint64_t{0};
     for (auto const& declaration : declared_versions(model))
-        if (now - declaration.received_at >= settings_.old_version_grace_period - version_switch_margin)
+        if (now - declaration.declared_at >= settings_.old_version_grace_period - version_switch_margin)
             oldest_allowed = declaration.version;
     return oldest_allowed;
 }
 
+auto declared_state::ages(std::string_view prefix, time_point now) const
+    -> std::map<std::string, milliseconds, std::less<>>
+{
+    auto found = std::map<std::string, milliseconds, std::less<>>{};
+    for (auto const& [key, item] : items_) {
+        auto const model = platform::declared_model(key);
+        if (!key.starts_with(prefix) || !model) continue;
+        auto const list = declared_versions(*model);
+        if (list.empty()) continue;
+        found[key] = std::chrono::duration_cast<milliseconds>(now - list.back().declared_at);
+    }
+    return found;
+}
+
 auto declared_state::items(std::string_view prefix) const -> std::vector<store_item>
 {
     auto list = std::vector<store_item>{};
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace hibiscuswall {
 namespace {
 
@@ -17,6 +19,7 @@
     milliseconds{200}; // the store's watch usually delivers the change in this time
 constexpr auto connect_timeout = milliseconds{800};
 constexpr auto fetch_timeout = milliseconds{2'500}; // allows for a complete configuration over a shared link
+constexpr auto max_age = milliseconds{24 * 3'600 * 1'000}; // of a declaration, as a peer may state it
 constexpr auto all_path = std::string_view{"/fleet/operators"};
 constexpr auto weights_path = std::string_view{"/fleet/weights"};
 constexpr auto services_path = std::string_view{"/fleet/services"};
@@ -28,7 +31,10 @@
     auto items = json::array();
     for (auto const& item : snapshot.items)
         items.push_back(json::array({item.key, encode_base64(item.value), item.revision}));
-    return json{{"revision", snapshot.revision}, {"items", items}}.dump();
+    auto ages = json::object();
+    for (auto const& [key, age] : snapshot.ages)
+        ages[key] = age.count();
+    return json{{"revision", snapshot.revision}, {"items", items}, {"ages_ms", ages}}.dump();
 }
 
 auto decode_operator_snapshot(std::string_view text) -> std::optional<operator_snapshot>
@@ -43,6 +49,9 @@
             snapshot.items.push_back(
                 {item.at(0).get<std::string>(), std::move(*value), item.at(2).get<std::uint64_t>()});
         }
+        auto const ages = document.value("ages_ms", json::object());
+        for (auto const& [key, age] : ages.items())
+            snapshot.ages[key] = std::clamp(milliseconds{age.get<long long>()}, milliseconds{0}, max_age);
         return snapshot;
     } catch (json::exception const&) {
         return std::nullopt; // for example: the peer runs another version
@@ -57,11 +66,13 @@
         co_await out.send(json_response(200, encode(snapshot)));
     };
     context_.control.add("GET", all_path, [this, respond](http_request const&, http_responder& out) {
-        return respond(out, {declared_state_.revision(), declared_state_.items(platform::operator_prefix)});
+        return respond(out, {declared_state_.revision(), declared_state_.items(platform::operator_prefix),
+                             declared_state_.ages(platform::operator_prefix, clock::now())});
     });
     context_.control.add("GET", weights_path, [this, respond](http_request const&, http_responder& out) {
         return respond(out,
-                       {declared_state_.weights_revision(), declared_state_.items(platform::weights_prefix)});
+                       {declared_state_.weights_revision(), declared_state_.items(platform::weights_prefix),
+                        declared_state_.ages(platform::weights_prefix, clock::now())});
     });
     context_.control.add("GET", services_path, [this, respond](http_request const&, http_responder& out) {
         return respond(out, services());
@@ -115,6 +126,7 @@
     auto const known_revision = needs_all        ? declared_state_.revision()
                                 : needs_services ? 0
                                                  : declared_state_.weights_revision();
+    auto const requested_at = clock::now();
     auto response = co_await context_.client.fetch(peer, {"GET", std::string{path}}, options);
     auto snapshot = std::optional<operator_snapshot>{};
     if (response && response.value().status == 200)
@@ -132,6 +144,9 @@
                {"outcome", outcome}});
     if (!snapshot || snapshot->revision < known_revision) co_return;
     declared_state_.replace(prefix, snapshot->items, snapshot->revision, clock::now());
+    for (auto const& item : snapshot->items)
+        if (auto const age = snapshot->ages.find(item.key); age != snapshot->ages.end())
+            declared_state_.correct_declaration(item.key, item.revision, requested_at - age->second);
     if (needs_all) declared_state_.agree(snapshot->revision);
 }
 
--- a/src/fleet/prefix_watcher.cpp
+++ b/src/fleet/prefix_watcher.cpp
@@ -35,8 +35,11 @@
 
 auto prefix_watcher::read_all() -> asio::awaitable<result<void>>
 {
+    auto const requested_at = clock::now();
     auto range = co_await store_.range(prefix_);
     if (!range) co_return range.error();
+    changed_since_ = complete_until_;
+    complete_until_ = std::max(complete_until_, requested_at);
     on_store_response();
     revision_ = std::max(revision_, range.value().revision);
     for (auto const& item : range.value().items)
@@ -59,6 +62,10 @@
     if (short_watches_remaining_ > 0) --short_watches_remaining_;
     auto received = co_await store_.watch_prefix(prefix_, revision_, wait);
     if (!received) co_return received.error();
+    // The store responds as soon as there is a change, so the changes are as old as their arrival.
+    auto const arrived = arrived_since(clock::now());
+    changed_since_ = std::max(complete_until_, arrived);
+    complete_until_ = changed_since_;
     on_store_response();
     revision_ = std::max(revision_, received.value().revision);
     auto const unavailable = recently_unavailable(clock::now());
@@ -75,6 +82,11 @@
     co_return success();
 }
 
+auto prefix_watcher::arrived_since(time_point now) const -> time_point
+{
+    return settings_.pauses == nullptr ? now : settings_.pauses->arrived_since(now);
+}
+
 auto prefix_watcher::on_store_response() -> void
 {
     auto const now = clock::now();
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -233,7 +233,7 @@
 {
     declared_.clear();
     for (auto const& each : declared_state_.declared_versions(engine_service()->engine->model))
-        declared_.push_back({each.version, each.received_at, complete_since_.contains(each.version),
+        declared_.push_back({each.version, each.declared_at, complete_since_.contains(each.version),
                              held_fraction(each.version)});
     // Version 1 exists from the start without a declaration.
     if (declared_.empty())
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -185,7 +185,7 @@
         if (transfer_entry == transfers_.end()) continue;
         if (older_incomplete) transfer_entry->second->pause_source_fetches(now + 2 * reconcile_interval);
         if (transfer_entry->second->chunks_without_holder() > 0 &&
-            now - each.received_at < source_fetch_duration)
+            now - each.declared_at < source_fetch_duration)
             older_incomplete = true;
     }
 }
@@ -225,7 +225,7 @@
               {{"version", version->id()}, {"agents", std::to_string(directory_.agents().size())}});
     // Peers hold no chunks of a version that was declared a moment ago, so they need not be asked first.
     auto const is_new = !declared_.empty() && declared_.back().version == number &&
-                        clock::now() - declared_.back().received_at < new_version_window;
+                        clock::now() - declared_.back().declared_at < new_version_window;
     auto const transferred = co_await running->run(!is_new);
     transfers_.erase(number);
     if (transferred) co_return true;
--- a/src/weights/switch_schedule.cpp
+++ b/src/weights/switch_schedule.cpp
@@ -44,7 +44,7 @@
     // Of the versions that the engine lacks, the oldest has the earliest deadline.
     for (auto const& each : view.declared)
         if (is_newer(each, view))
-            return each.received_at + settings.first_switch_delay +
+            return each.declared_at + settings.first_switch_delay +
                    fraction_of(settings.last_switch_delay - settings.first_switch_delay, view.rank);
     return time_point{};
 }
--- a/tests/support/direct_entry_base.hpp
+++ b/tests/support/direct_entry_base.hpp
@@ -66,6 +66,7 @@
     process entry;
     std::uint64_t version = 1;
     std::vector<std::string> account_keys{"k1"};
+    json entry_settings = json::object(); // merged over those of start_entry()
     int calls = 0;
 
     void setup() override
@@ -93,16 +94,17 @@
 
     auto start_entry_program(std::string const& name, entry_listeners const& where)->process
     {
-        auto const settings = json{{"name", name},
-                                   {"region", "north"},
-                                   {"failure_domain", "north-a"},
-                                   {"store", store.text()},
-                                   {"peer_listen", where.peers.text()},
-                                   {"caller_listen", where.callers.text()},
-                                   {"ready_listen", where.ready.text()},
-                                   {"regions", {{"north-a", "north"}}},
-                                   {"stop_time_ms", 6000},
-                                   {"limits", {{"repeat_ratio", 0.2}, {"repeat_reserve", 320}}}};
+        auto settings = json{{"name", name},
+                             {"region", "north"},
+                             {"failure_domain", "north-a"},
+                             {"store", store.text()},
+                             {"peer_listen", where.peers.text()},
+                             {"caller_listen", where.callers.text()},
+                             {"ready_listen", where.ready.text()},
+                             {"regions", {{"north-a", "north"}}},
+                             {"stop_time_ms", 6000},
+                             {"limits", {{"repeat_ratio", 0.2}, {"repeat_reserve", 320}}}};
+        settings.update(entry_settings);
         auto const file = folder / (name + ".json");
         std::ofstream{file} << settings.dump();
         return process{"hibiscus-entry", {"--settings", file.string()}, folder / (name + ".log")};
--- a/tests/unit/prefix_watcher_test.cpp
+++ b/tests/unit/prefix_watcher_test.cpp
@@ -6,6 +6,8 @@
 #include "support/run_coroutine.hpp"
 #include "support/test_process.hpp"
 
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hibiscuswall;
@@ -18,8 +20,10 @@
     http_client client{io, &events};
     random_source random{3};
     key_value_client kv{client, {store.where}, milliseconds{300}};
-    std::vector<std::string> received;  // "all" or "change", and the value of k
-    std::vector<bool> unavailable_seen; // store_was_unavailable of each range
+    std::vector<std::string> received;     // "all" or "change", and the value of k
+    std::vector<bool> unavailable_seen;    // store_was_unavailable of each range
+    std::vector<time_point> changed_since; // of each callback
+    pause_detector pauses;
     std::unique_ptr<prefix_watcher> watcher;
 
     auto put(std::string value)->void
@@ -31,20 +35,23 @@
         auto settings = prefix_watcher_settings{};
         settings.wait = milliseconds{200};
         settings.batch_delay = batch_delay;
+        settings.pauses = &pauses;
         auto const on_range = [this](store_range const& found, bool unavailable) {
+            changed_since.push_back(watcher->changed_since());
             unavailable_seen.push_back(unavailable);
             received.push_back("all " + (found.items.empty() ? std::string{} : found.items.front().value));
         };
         auto const on_change = [this](store_change const& update, bool) {
+            changed_since.push_back(watcher->changed_since());
             received.push_back("change " + update.value.value_or(""));
         };
         watcher = std::make_unique<prefix_watcher>(kv, random, "p/", settings,
                                                    prefix_watcher_callbacks{on_range, on_change});
         asio::co_spawn(io, watcher->run(), asio::detached);
     }
-    auto run_until(std::function<bool()> const& condition)->bool
+    auto run_until(std::function<bool()> const& condition, milliseconds bound = milliseconds{3'000})->bool
     {
-        auto const end = clock::now() + seconds{3};
+        auto const end = clock::now() + bound;
         io.restart();
         while (!condition() && clock::now() < end)
             io.run_one_for(milliseconds{5});
@@ -129,3 +136,48 @@
     CHECK(run_until([&] { return unavailable_seen.size() > before; }));
     CHECK(unavailable_seen.back());
 }
+
+// ---- when a change was made
+
+TEST(prefix_watcher, a_change_that_a_waiting_watch_returns_was_made_just_now)
+{
+    put("1");
+    start_watcher(milliseconds{0});
+    CHECK(run_until([&] { return has_received("all 1"); }));
+    run_until([] { return false; }, milliseconds{300});
+    auto const before = clock::now();
+    put("2");
+    CHECK(run_until([&] { return has_received("change 2"); }));
+    CHECK(changed_since.back() >= before);
+}
+
+// The store's calls get no response for a while, and the change was made meanwhile. Guards against a change
+// that counts as new because it was received late.
+TEST(prefix_watcher, a_change_found_after_failed_calls_may_be_as_old_as_the_last_response)
+{
+    put("1");
+    start_watcher(milliseconds{0});
+    CHECK(run_until([&] { return has_received("all 1"); }));
+    store.down = true;
+    CHECK(run_until([&] { return watcher->is_unavailable(); }));
+    auto const lost = watcher->confirmed_at();
+    run_until([] { return false; }, milliseconds{600});
+    store.down = false;
+    put("2");
+    CHECK(run_until([&] { return has_received("all 2"); }));
+    CHECK(changed_since.back() <= lost);
+}
+
+// The response waits in the socket while the process stands still.
+TEST(prefix_watcher, a_change_received_after_a_pause_may_be_as_old_as_its_begin)
+{
+    put("1");
+    start_watcher(milliseconds{0});
+    CHECK(run_until([&] { return has_received("all 1"); }));
+    auto const begun = clock::now();
+    pauses.tick(begun);
+    put("2");
+    std::this_thread::sleep_for(milliseconds{500}); // nothing is handled meanwhile
+    CHECK(run_until([&] { return has_received("change 2"); }));
+    CHECK(changed_since.back() <= clock::now() - milliseconds{500});
+}
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -279,6 +279,20 @@
     CHECK_EQUAL(2U, declared.min_version("m", now));
 }
 
+// A declaration is received seconds after it was made, since this process stood still or its call to the
+// store got no response. Guards against a grace period that begins with the receipt.
+TEST(declared_state, a_declaration_received_late_has_what_remains_of_the_grace_period)
+{
+    auto const declared_at = now - milliseconds{5'000};
+    declared.replace("op/", {}, 1, now);
+    declared.apply({"op/version/m", R"({"model":"m","version":2})", 9}, now, declared_at);
+    CHECK_EQUAL(0U, declared.min_version("m", declared_at + milliseconds{7'000}));
+    CHECK_EQUAL(2U, declared.min_version("m", declared_at + milliseconds{7'100}));
+    declared.replace("op/", {{"op/version/m", R"({"model":"m","version":3})", 12}}, 12, now + seconds{20},
+                     now + seconds{14});
+    CHECK_EQUAL(3U, declared.min_version("m", now + milliseconds{21'100}));
+}
+
 // An agent watches only the weights declarations and reads the configuration once. Guards against a range of
 // the operators' keys that is taken for all of them.
 TEST(declared_state, replacing_one_key_range_leaves_the_others_unchanged)
@@ -320,6 +334,28 @@
     CHECK_EQUAL(ahead.revision(), behind.revision());
 }
 
+// Guards against a process that learns of a declaration from a peer and begins its grace period again.
+TEST(operator_snapshot, a_weights_declaration_comes_with_its_age)
+{
+    auto ahead = declared_state{{}};
+    auto behind = declared_state{{}};
+    behind.replace("op/", {}, 1, now);
+    ahead.replace("op/", {}, 1, now);
+    ahead.apply({"op/version/m", R"({"model":"m","version":2})", 9}, now);
+    auto const later = now + milliseconds{3'000};
+    auto const sent = operator_snapshot{ahead.revision(), ahead.items("op/"), ahead.ages("op/", later)};
+    auto const snapshot = decode_operator_snapshot(encode(sent)).value();
+    CHECK_EQUAL(3'000, snapshot.ages.at("op/version/m").count());
+
+    behind.replace("op/", snapshot.items, snapshot.revision, later);
+    behind.correct_declaration("op/version/m", 8, later - seconds{9}); // of an older declaration
+    CHECK_EQUAL(0U, behind.min_version("m", now + milliseconds{7'100}));
+    behind.correct_declaration("op/version/m", 9, later - snapshot.ages.at("op/version/m"));
+    CHECK_EQUAL(2U, behind.min_version("m", now + milliseconds{7'100}));
+    behind.correct_declaration("op/version/m", 9, later); // a later time tells nothing new
+    CHECK_EQUAL(2U, behind.min_version("m", now + milliseconds{7'100}));
+}
+
 // Guards against two processes that keep requesting snapshots from each other because they read the store at
 // different revisions.
 TEST(operator_snapshot, store_changes_outside_the_operator_keys_do_not_raise_the_operator_revision)
