Answer every call that outlasts a planned stop

It can happen here: a call that still ran when the stop's time was over got no answer; the connection closed as the process ended, also for calls that must not be sent twice.

Cause: drain() only waited for the calls in flight. Nothing ended those that were left, and a call taken during the stop was passed on with its own deadline, beyond the end of the process.

Fix: from the signal on, a new call's deadline is at most the stop's end, and its endpoint is told so. At that end each call that is left is ended: 503 if it was never sent, 502 or 504 if it may have run; 0.4 s are left for the answers. Calls are taken for 2.9 s after the signal instead of 3.0 s, so that none begins later than 3 s after it was sent.

Result: the test passes: 504 for calls that reached the endpoint, 503 for those that waited. Calls of the layout with gates: their stop waits for drain_timeout_ms; not looked at.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -61,6 +61,14 @@
     // Sets the number of entries that share the retry budget of each service.
     auto set_entry_count(int entries) -> void;
 
+    // A planned stop begins: a call that begins from now on ends at this time at the latest, and its endpoint
+    // is told so.
+    auto limit_deadlines(time_point latest) -> void { latest_deadline_ = latest; }
+
+    // Ends all calls: those that were never sent are rejected, the others get 502 or 504, and the endpoints'
+    // connections are closed.
+    auto end_all(time_point now) -> void;
+
     // Highest shed level of any service: the fraction of its callers that is shed.
     [[nodiscard]] auto shed_level() const -> double;
 
@@ -158,6 +166,7 @@
     std::set<std::string> shedding_;               // services whose shedding has been logged as begun
     std::map<std::string, window_retry_budget, std::less<>> budgets_; // by service
     std::set<relayed_call*> active_;
+    time_point latest_deadline_ = time_point::max(); // of calls that begin
     wait_queue wait_queue_;
     wait_queue replacement_queue_;                   // calls at stalled endpoints that seek another one
     std::map<waiter*, relayed_call*> waiting_calls_; // calls in the wait queue
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -100,6 +100,7 @@
     // Connection closed to move the stream from an engine that changes its weights; at most once per call.
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
+    bool ended_by_stop = false;       // this entry stops and ends the call
 
     // ---- segments that may crash engines, see serving/prompt_quarantine
     std::optional<shared_prompt> prompt;     // decoded once it is needed
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -25,8 +25,9 @@
 constexpr auto gather_per_entry = milliseconds{25};
 constexpr auto min_gather = milliseconds{400};
 constexpr auto max_gather = milliseconds{1'000};
-constexpr auto balancer_time = milliseconds{3'000};   // until the balancer sends no new connections
-constexpr auto stop_margin = milliseconds{700};       // before SIGKILL
+constexpr auto balancer_time = milliseconds{2'900};   // until the balancer sends no new connections
+constexpr auto stop_margin = milliseconds{700};       // before SIGKILL: calls that still run are ended
+constexpr auto last_answers_time = milliseconds{400}; // for the answers of these
 constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
@@ -312,16 +313,29 @@
         co_await out.send({is_ready ? 200 : 503, {}, is_ready ? "ready\n" : "not ready\n"});
     }
 
-    // Calls on open and new connections are served while the balancer still sends them.
+    // Calls on open and new connections are served while the balancer still sends them. Each call that was
+    // read gets an answer: one that outlasts the stop is ended with what is known of it.
     auto drain() -> asio::awaitable<void>
     {
-        auto const begun = clock::now();
+        auto const end = clock::now() + stop_time - stop_margin;
         caller_server.close_after_answers();
+        relay.limit_deadlines(end);
         co_await sleep_for(balancer_time);
         caller_server.stop_accepting();
-        while (caller_server.active() > 0 && clock::now() - begun < stop_time - stop_margin)
+        co_await await_calls(end);
+        auto const outlasted = caller_server.active();
+        relay.end_all(clock::now());
+        co_await await_calls(clock::now() + last_answers_time);
+        log_event(log_level::info, "drained",
+                  {{"outlasted", std::to_string(outlasted)},
+                   {"in_flight", std::to_string(caller_server.active())}});
+    }
+
+    // Waits until no call is in flight, or the time has come.
+    auto await_calls(time_point latest) -> asio::awaitable<void>
+    {
+        while (caller_server.active() > 0 && clock::now() < latest)
             co_await sleep_for(milliseconds{20});
-        log_event(log_level::info, "drained", {{"in_flight", std::to_string(caller_server.active())}});
     }
 
     auto start(direct_entry_settings const& settings) -> result<void>
--- a/src/serving/call_quarantine.cpp
+++ b/src/serving/call_quarantine.cpp
@@ -151,7 +151,7 @@
         co_return true;
     }
     auto const leaves = endpoint->leaving || endpoint->record.draining;
-    if (may_be_crash(outcome) && goes_to_engine(call) && !leaves)
+    if (may_be_crash(outcome) && goes_to_engine(call) && !leaves && !call.ended_by_stop)
         co_await record_crash(call, endpoint->record);
     end_trial(call);
     co_return false;
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -100,7 +100,7 @@
         auto const missing = found.error().code == result_code::configuration_missing;
         co_return co_await reject(call, found.error(), missing ? milliseconds{500} : milliseconds{0});
     }
-    call.deadline = std::min(call.deadline, call.arrived_at + call.route->timeout);
+    call.deadline = std::min({call.deadline, call.arrived_at + call.route->timeout, latest_deadline_});
     retry_budget_for(call.service->name).on_call(call.read_at);
     set_shed_decision(call);
     auto const registration = registered_call{*this, call};
@@ -191,7 +191,8 @@
 {
     while (!call.caller_disconnected) {
         if (clock::now() >= call.deadline)
-            co_return co_await end_without_retry(call, result_code::deadline_exceeded, "deadline",
+            co_return co_await end_without_retry(call, result_code::deadline_exceeded,
+                                                 call.ended_by_stop ? "this entry stops" : "deadline",
                                                  milliseconds{0});
         if (declared_state_.map() != call.map) {
             if (auto found = look_up(call); !found)
@@ -246,7 +247,7 @@
                                     [&](send_responded const&) { endpoint_table::record_success(endpoint); },
                                     [&](send_streamed const&) { endpoint_table::record_success(endpoint); }};
     std::visit(visitor, outcome);
-    if (reason.empty() || call.moved || call.recalled) return;
+    if (reason.empty() || call.moved || call.recalled || call.ended_by_stop) return;
     endpoint_table::record_failure(endpoint, clock::now());
     log_event(log_level::warning, "send_failed",
               {{"call", call.fields.call_id},
@@ -356,6 +357,21 @@
     return budgets_.try_emplace(service, settings_.retry_limits).first->second;
 }
 
+auto call_relay::end_all(time_point now) -> void
+{
+    for (auto* call : active_) {
+        log_event(log_level::warning, "call_ended_by_stop",
+                  {{"call", call->fields.call_id},
+                   {"sends", std::to_string(call->send_count)},
+                   {"after_ms", ms_text(now - call->arrived_at)}});
+        metrics_registry_.count("calls_ended_by_stop");
+        call->ended_by_stop = true;
+        call->deadline = std::min(call->deadline, now);
+        if (call->connection != nullptr) call->connection->close();
+        if (call->wait_timer != nullptr) call->wait_timer->cancel();
+    }
+}
+
 auto call_relay::set_entry_count(int entries) -> void
 {
     settings_.retry_limits.entries = entries;
--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -2,6 +2,7 @@
 // endpoints. Each guarantee to callers is tested once.
 #include <csignal>
 #include <future>
+#include <set>
 #include <thread>
 
 #include "support/direct_entry_base.hpp"
@@ -332,7 +333,32 @@
 
 // ---- stopping
 
-TEST_GROUP_BASE(direct_stop, direct_entry_base){};
+TEST_GROUP_BASE(direct_stop, direct_entry_base){
+    // Routes whose calls may last longer than the stop.
+    auto configure_slow_routes()->void{auto const route = [](char const* name, char const* prefix,
+                                                             char const* kind) {
+        return json{{"name", name},        {"host", "a.example"},    {"prefix", prefix}, {"kind", kind},
+                    {"timeoutMs", 20'000}, {"targetLatencyMs", 200}, {"maxAttempts", 2}, {"service", "s"}};
+    };
+auto document = json{{"version", version++}};
+document["routes"] = json::array();
+document["routes"].push_back(route("read", "/read/", "idempotent"));
+document["routes"].push_back(route("book", "/book/", "non_idempotent"));
+document["services"] = json::array();
+document["services"].push_back(json{{"name", "s"}, {"maxConnections", 50}});
+document["tenants"] = json::array();
+document["tenants"].push_back(json{{"name", "guild"}, {"apiKeys", account_keys}});
+put("op/config", document);
+}
+
+auto ask_patiently(std::string const& path, std::string const& method) -> std::future<int>
+{
+    auto request = next_request(path, method);
+    request.headers.set("X-Hibiscuswall-Deadline-Ms", "15000");
+    return std::async(std::launch::async, [this, request] { return call(callers, request).status; });
+}
+}
+;
 
 // Guards against a planned stop that aborts calls already received.
 TEST(direct_stop,
@@ -355,3 +381,42 @@
     CHECK_EQUAL(200, late.status);
     CHECK_EQUAL(0, entry.wait(seconds{6}).value_or(-1));
 }
+
+// Guards against calls that are taken during a planned stop, passed on, and cut without an answer when the
+// stop's time is over; also those that must not be sent twice, and those that still wait for a slot.
+TEST(direct_stop, calls_that_outlast_a_planned_stop_get_an_answer)
+{
+    constexpr auto count = 30; // more than the endpoint takes at once
+    auto endpoint = scripted_endpoint{[](auto const& request) {
+        return scripted_response{signed_ok(request, "late"), false, milliseconds{7'000}};
+    }};
+    entry_settings["stop_time_ms"] = 5'000; // the callers of this test wait for 5 s
+    configure_slow_routes();
+    put_endpoint("i-1", endpoint);
+    start_entry();
+    await_ready();
+    entry.send_signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds{300});
+    auto answers = std::map<std::string, std::future<int>>{}; // by call id
+    for (auto i = 0; i < count; ++i) {
+        auto answer = ask_patiently(i % 2 == 0 ? "/book/x" : "/read/x", i % 2 == 0 ? "POST" : "GET");
+        answers.emplace("call-" + std::to_string(calls), std::move(answer));
+    }
+    auto statuses = std::map<std::string, int>{};
+    for (auto& [id, answer] : answers)
+        statuses[id] = answer.get();
+    CHECK_EQUAL(0, entry.wait(seconds{3}).value_or(-1));
+
+    auto sent = std::set<std::string>{};
+    for (auto const& request : endpoint.requests()) {
+        sent.insert(request.header("x-hibiscuswall-attempt-id"));
+        // What is left of the stop, not of the caller's time.
+        CHECK(std::stoi(request.header("x-hibiscuswall-deadline-ms")) <= 5'000);
+    }
+    CHECK(!sent.empty() && sent.size() < count);
+    for (auto const& [id, status] : statuses) {
+        // One that may have run is not said not to have run.
+        auto const expected = sent.contains(id) ? 504 : 503;
+        CHECK_EQUAL_TEXT(expected, status, id.c_str());
+    }
+}
