Bound what endpoints make a host keep, over all calls and for agents

It can happen here: 150 calls at once to one faulty endpoint, each with a response below its own limit of 4 MB, took an entry to 604 MB; hosts have 160 to 260 MB, and the requests of all clients would end with the process. An agent kept up to 64 MB of a staged chunk of a few kilobytes, and a chunk header that does not end without any limit.

Cause: limits per response only, none over all of them; the client of agents had one limit of 64 MB for every answer, and none for bytes that its parser waits on.

Agents ask for each answer with the size that is due; unparsed bytes are limited to 160 KB.

--- a/include/hibiscuswall/platform/weight_source_client.hpp
+++ b/include/hibiscuswall/platform/weight_source_client.hpp
@@ -64,7 +64,8 @@
         time_point suspect_until;     // the source is tried after the others until then
     };
 
-    auto open(http_request request, milliseconds timeout) -> asio::awaitable<result<source_stream>>;
+    auto open(http_request request, milliseconds timeout, std::size_t max_bytes)
+        -> asio::awaitable<result<source_stream>>;
     [[nodiscard]] auto by_preference(time_point now) const -> std::vector<std::size_t>;
 
     http_client& client_;
--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -33,6 +33,7 @@
     milliseconds connect_timeout{300}; // for a connection to an endpoint
     milliseconds idle_timeout{4'000};  // of a pooled connection if the endpoint sends no Keep-Alive timeout
     std::size_t max_response_bytes = 4U << 20U; // of a response that is not a stream
+    response_memory_settings responses;         // of all calls together
     int max_rejected_sends = 3; // a rejection ends the call once it has been sent this many times in total
 };
 
@@ -162,6 +163,7 @@
     metrics& metrics_registry_;
     relay_settings settings_;
     endpoint_pool pool_;
+    response_memory responses_;
     std::map<std::string, load_shedder> shedders_; // by service
     std::set<std::string> shedding_;               // services whose shedding has been logged as begun
     std::map<std::string, window_retry_budget, std::less<>> budgets_; // by service
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -7,6 +7,7 @@
 #include "hibiscuswall/serving/endpoint_table.hpp"
 #include "hibiscuswall/serving/event_splitter.hpp"
 #include "hibiscuswall/serving/prompt_quarantine.hpp"
+#include "hibiscuswall/serving/response_memory.hpp"
 #include "hibiscuswall/serving/service_map.hpp"
 #include "hibiscuswall/serving/wait_queue.hpp"
 #include "platform/call_headers.hpp"
@@ -110,9 +111,18 @@
     bool past_beginning = false; // the current response has got past its beginning: its engine survived it
     bool recalled = false;       // connection closed because the prompt was quarantined after the send
 
-    relayed_call(http_request const& from_caller, http_responder& towards_caller)
-        : request{from_caller}, out{towards_caller}
+    response_memory::share memory; // what the call holds of responses
+
+    relayed_call(http_request const& from_caller, http_responder& towards_caller, response_memory& responses)
+        : request{from_caller}, out{towards_caller}, memory{responses}
+    {
+    }
+
+    // Records that the call holds so many bytes of the current response, besides an earlier one that it may
+    // deliver. False if this process must not hold as much.
+    [[nodiscard]] auto hold(std::size_t bytes) -> bool
     {
+        return memory.hold(bytes + (fallback_response ? fallback_response->body.size() : 0));
     }
 
     // Called once the endpoint has processed the prompt, or the send has ended.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -23,8 +23,12 @@
 constexpr auto idle_sweep_interval = seconds{1};       // between closings of idle connections
 constexpr auto piece_bytes = std::size_t{64 * 1024};
 
+// Bytes of an answer that are received and not yet parsed. A chunk's header is parsed once it is complete, so
+// one without an end would be kept without a limit.
+constexpr auto max_unparsed_bytes = std::size_t{160 * 1024};
+
 struct connection {
-    explicit connection(asio::io_context& io) : stream{io} {}
+    explicit connection(asio::io_context& io) : stream{io}, buffer{max_unparsed_bytes} {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
--- a/src/platform/weight_source_client.cpp
+++ b/src/platform/weight_source_client.cpp
@@ -13,6 +13,8 @@
 constexpr auto min_retry_wait = milliseconds{10};
 constexpr auto default_retry_wait = milliseconds{1'000}; // after a 429 or 503 without a valid Retry-After
 constexpr auto failure_retry_wait = milliseconds{500};   // after a source did not respond
+constexpr auto max_manifest_bytes = std::size_t{16} << 20U;
+constexpr auto max_error_bytes = std::size_t{64 * 1024}; // of an answer in place of a small chunk
 constexpr auto suspect_duration = seconds{30}; // a failed source is tried after the others for this long
 
 // Parses Retry-After in seconds; accepts fractions.
@@ -84,7 +86,7 @@
     return order;
 }
 
-auto weight_source_client::open(http_request request, milliseconds timeout)
+auto weight_source_client::open(http_request request, milliseconds timeout, std::size_t max_bytes)
     -> asio::awaitable<result<source_stream>>
 {
     auto last_error =
@@ -92,6 +94,7 @@
     auto options = http_call_options{};
     options.connect_timeout = timeout_;
     options.timeout = timeout;
+    options.body_limit = max_bytes;
     // The source accepts few connections from all hosts together: idle connections of many hosts would block
     // active fetches.
     options.keep_connection = false;
@@ -126,7 +129,7 @@
 {
     auto request = http_request{};
     request.target = targets_.manifest_target(model, version);
-    auto opened = co_await open(std::move(request), timeout_);
+    auto opened = co_await open(std::move(request), timeout_, max_manifest_bytes);
     if (!opened) co_return opened.error();
     co_return co_await opened.value().stream->read_all();
 }
@@ -137,7 +140,8 @@
     auto request = http_request{};
     request.target = targets_.chunk_target(*version, chunk);
     request.headers.set("Range", "bytes=0-" + std::to_string(version->chunks[chunk].size - 1));
-    co_return co_await open(std::move(request), timeout);
+    co_return co_await open(std::move(request), timeout,
+                            std::max<std::size_t>(version->chunks[chunk].size, max_error_bytes));
 }
 
 } // namespace hibiscuswall
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -58,8 +58,9 @@
                        prompt_quarantine& quarantine, random_source& random, metrics& metrics_registry,
                        std::string region, relay_settings const& settings)
     : io_{io}, region_{std::move(region)}, declared_state_{declared}, endpoints_{endpoints},
-      quarantine_{quarantine}, random_{random}, metrics_registry_{metrics_registry}, settings_{settings},
-      pool_{io}, wait_queue_{settings_.waiting.max_waiting}, replacement_queue_{max_seeking}
+      quarantine_{quarantine}, random_{random},
+      metrics_registry_{metrics_registry}, settings_{settings}, pool_{io}, responses_{settings_.responses},
+      wait_queue_{settings_.waiting.max_waiting}, replacement_queue_{max_seeking}
 {
 }
 
@@ -91,7 +92,7 @@
 
 auto call_relay::serve(http_request const& request, http_responder& out) -> asio::awaitable<void>
 {
-    auto call = relayed_call{request, out};
+    auto call = relayed_call{request, out, responses_};
     call.arrived_at = request.received;
     call.read_at = clock::now();
     call.fields = platform::decode_call_headers(request.headers);
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -74,6 +74,12 @@
               {{"endpoint", endpoint.record.id}, {"for_ms", std::to_string(response.backoff->count())}});
 }
 
+auto responses_too_large(metrics& registry) -> std::string
+{
+    registry.count("responses_over_memory_limit");
+    return "responses of all calls exceed the memory limit";
+}
+
 // Counts what completes something as progress, see serving/stall_detection.
 auto record_progress(relayed_call& call, endpoint_response_parser const& parser, bool had_head,
                      time_point now) -> void
@@ -193,6 +199,7 @@
             record_progress(call, parser, had_head, clock::now());
             if (parser.body_size() > settings_.max_response_bytes)
                 co_return send_failed{"response exceeds the size limit"};
+            if (!call.hold(parser.body_size())) co_return send_failed{responses_too_large(metrics_registry_)};
         }
         if (parser.state() == response_state::invalid) co_return send_failed{"response is not valid HTTP"};
         auto const fields = platform::decode_response(parser.status(), parser.headers());
@@ -254,6 +261,7 @@
         auto const events_before = call.events.count();
         auto const complete_events = call.events.feed(parser.take_body());
         if (call.events.pending() > max_event_bytes) co_return fail_stream("event exceeds the size limit");
+        if (!call.hold(call.events.pending())) co_return fail_stream(responses_too_large(metrics_registry_));
         if (!complete_events.empty()) {
             record_events(call, clock::now(), call.events.count() > events_before);
             call.on_prompt_processed();
--- a/src/weights/engine_stage.cpp
+++ b/src/weights/engine_stage.cpp
@@ -5,13 +5,17 @@
 namespace hibiscuswall {
 namespace {
 
-constexpr auto stage_timeout = milliseconds{1'000}; // of one request to the engine on this host
+constexpr auto stage_timeout = milliseconds{1'000};      // of one request to the engine on this host
+constexpr auto max_list_bytes = std::size_t{256 * 1024}; // of the list of staged chunks
+constexpr auto max_done_bytes = std::size_t{64 * 1024};  // of the answer to a chunk that was written
 
-auto stage_options() -> http_call_options
+// The engine may be faulty: nothing larger than what was asked for is kept.
+auto stage_options(std::size_t max_bytes) -> http_call_options
 {
     auto options = http_call_options{};
     options.connect_timeout = stage_timeout;
     options.timeout = stage_timeout;
+    options.body_limit = max_bytes;
     options.purpose = "stage";
     options.may_end_with_connection = true; // a cut list is not valid JSON, and chunks have digests
     return options;
@@ -29,7 +33,7 @@
 {
     auto matches = std::vector<bool>(version->chunks.size());
     auto response = co_await context_.client.fetch(engine_, platform::staged_list_request(version->model),
-                                                   stage_options());
+                                                   stage_options(max_list_bytes));
     if (!response) co_return response.error();
     if (response.value().status == 404) co_return matches;
     if (response.value().status != 200) co_return unexpected_status_error(response.value().status);
@@ -42,10 +46,10 @@
 
 auto engine_stage::read_chunk(manifest_ptr version, std::size_t chunk) -> asio::awaitable<bool>
 {
+    auto const& entry = version->chunks[chunk];
     auto response = co_await context_.client.fetch(
-        engine_, platform::staged_chunk_request(version->model, chunk), stage_options());
+        engine_, platform::staged_chunk_request(version->model, chunk), stage_options(entry.size));
     if (!response || response.value().status != 200) co_return false;
-    auto const& entry = version->chunks[chunk];
     auto bytes = std::make_shared<std::string const>(std::move(response.value().body));
     if (bytes->size() != entry.size) co_return false;
     auto parts = std::vector<chunk_bytes>{bytes};
@@ -58,7 +62,7 @@
     -> asio::awaitable<result<void>>
 {
     auto response = co_await context_.client.fetch(
-        engine_, platform::stage_request(version->model, chunk, *bytes), stage_options());
+        engine_, platform::stage_request(version->model, chunk, *bytes), stage_options(max_done_bytes));
     if (!response) co_return response.error();
     auto const status = response.value().status;
     if (status < 200 || status >= 300) co_return unexpected_status_error(status);
--- a/tests/integration/endless_responses_test.cpp
+++ b/tests/integration/endless_responses_test.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto memory_limit_kb = 160L * 1024; // of an entry on the smallest host
 constexpr auto calls_at_once = 24;
+constexpr auto many_calls = 150;
 
 auto head(scripted_request const& request, std::string const& status, std::string const& rest) -> std::string
 {
@@ -38,10 +39,11 @@
 }
 
 // Calls the endpoint many times at once. Returns the statuses.
-auto call_at_once(std::string const& path, std::string const& method) -> std::vector<int>
+auto call_at_once(std::string const& path, std::string const& method, int count = calls_at_once)
+    -> std::vector<int>
 {
     auto results = std::vector<std::future<int>>{};
-    for (auto i = 0; i < calls_at_once; ++i)
+    for (auto i = 0; i < count; ++i)
         results.push_back(std::async(std::launch::async, [&, i] {
             auto request = http_request{method, path, {}, method == "POST" ? "{}" : ""};
             request.headers.set("Host", "a.example");
@@ -133,3 +135,22 @@
     CHECK_EQUAL(1U, silent.requests().size());
     CHECK(await_condition(seconds{1}, [&] { return silent.closed() >= 1; }));
 }
+
+// Each response is below its own limit. Guards against an entry whose memory many of them fill together, and
+// against large responses that make small ones fail.
+TEST(endless_responses, many_large_responses_at_once_leave_memory_bounded)
+{
+    auto const chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    auto faulty = scripted_endpoint{[&](auto const& request) {
+        return endless(head(request, "500 Internal Server Error", "Transfer-Encoding: chunked\r\n\r\n"),
+                       chunk, milliseconds{10});
+    }};
+    configure();
+    put_endpoint("i-1", faulty, "ready", many_calls);
+    start_entry();
+    await_ready();
+    for (auto const status : call_at_once("/book/a", "POST", many_calls))
+        CHECK(status == 502 || status == 504 || status == 503);
+    CHECK_TEXT(peak_memory_kb() < memory_limit_kb, std::to_string(peak_memory_kb()).c_str());
+    CHECK(entry.running());
+}
--- a/tests/support/direct_entry_base.hpp
+++ b/tests/support/direct_entry_base.hpp
@@ -143,14 +143,14 @@
     }
 
     auto put_endpoint(std::string const& id, scripted_endpoint const& endpoint,
-                      std::string const& state = "ready")
+                      std::string const& state = "ready", int slots = 4)
         ->void
     {
         put("servers/" + id, json{{"service", "s"},
                                   {"address", endpoint.where().text()},
                                   {"zone", "north-a"},
                                   {"version", "v1"},
-                                  {"slots", 4},
+                                  {"slots", slots},
                                   {"state", state},
                                   {"sequence", 1}});
     }
