Trust a manifest that the source has sent twice

A transfer whose chunks were altered on their way ended again and again although its manifest was right, and forgot each time which peers to avoid.

Fix: after the source has sent the same manifest again it is not doubted any more; after it sent none, for 5 s.

--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -4,8 +4,8 @@
 //
 //   declared.apply(change, now, since);                     // one change from the store
 //   declared.replace("op/", items, revision, now, since);   // complete content of a key prefix
-//   declared.map();                                  // null until the first configuration was applied
-//   declared.min_version("m", now);                  // oldest weights version that a request may start on
+//   declared.map();                                         // null until the first one was applied
+//   declared.min_version("m", now);                         // oldest weights that a request may start on
 //
 // Never goes back: a change is ignored unless its revision is newer than the known revision of its key.
 //
--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -122,6 +122,8 @@
     std::map<std::uint64_t, manifest_ptr> manifests_; // by version
     // Peers that sent a wrong manifest, and until when they are not asked for one.
     std::map<std::string, time_point, std::less<>> avoided_manifest_peers_;
+    // Until when the manifest of a version is not doubted again, after the origin was asked for it.
+    std::map<std::uint64_t, time_point> trusted_manifests_;
     std::optional<std::uint64_t> staged_version_; // version whose staged chunks are verified
     bool stage_known_ = false; // staged_version_ is known to match what the engine has staged
     std::optional<std::uint64_t> shared_version_; // version whose staged chunks were read back for peers
--- a/include/hibiscuswall/weights/transfer.hpp
+++ b/include/hibiscuswall/weights/transfer.hpp
@@ -55,6 +55,9 @@
     auto run(bool survey_first = true) -> asio::awaitable<result<void>>;
     auto cancel() -> void;
 
+    // The manifest was confirmed: copies of chunks that do not match it no longer end the transfer.
+    auto trust_manifest() -> void { trusts_manifest_ = true; }
+
     // Records holdings that a peer sent without being polled.
     auto on_peer_holdings(std::string_view peer, std::vector<bool> const& chunks) -> void;
 
@@ -96,6 +99,7 @@
     std::size_t polls_ = 0;                 // polls of peers in flight
     std::map<std::size_t, int> mismatches_; // by chunk, see count_mismatch()
     std::optional<std::size_t> doubted_chunk_;
+    bool trusts_manifest_ = false;
     bool cancelled_ = false;
 };
 
--- a/include/hibiscuswall/weights/weights_service.hpp
+++ b/include/hibiscuswall/weights/weights_service.hpp
@@ -54,6 +54,12 @@
         time_point declared_at;
     };
 
+    enum class manifest_check {
+        same,         // the source sent the same manifest again
+        replaced,     // it sent another one, which is used from now on
+        not_received, // it did not send it
+    };
+
     auto on_config(config_view const& view) -> void;
     auto reconcile(std::uint64_t generation, model_serving target) -> asio::awaitable<void>;
     auto obtain_manifest(std::uint64_t generation, model_serving target) -> asio::awaitable<manifest_ptr>;
@@ -61,9 +67,11 @@
     auto manifest_from_source(model_serving target) -> asio::awaitable<result<manifest_ptr>>;
     auto check_manifest(std::string const& id, std::string const& text) const -> result<manifest_ptr>;
     auto transfer_chunks(std::uint64_t generation, model_serving target) -> asio::awaitable<bool>;
-    auto run_transfer(std::uint64_t generation, std::string id) -> asio::awaitable<result<void>>;
-    // Asks the source for the manifest again after the chunks did not match it. Returns whether it changed.
-    auto replace_doubted_manifest(std::uint64_t generation, model_serving target) -> asio::awaitable<bool>;
+    auto run_transfer(std::uint64_t generation, std::string id, bool trusts_manifest)
+        -> asio::awaitable<result<void>>;
+    // Asks the source for the manifest again after the chunks did not match it.
+    auto replace_doubted_manifest(std::uint64_t generation, model_serving target)
+        -> asio::awaitable<manifest_check>;
     auto activate(std::uint64_t generation, model_serving target, served_weights weights)
         -> asio::awaitable<bool>;
     auto await_rollout_slot(std::uint64_t generation, model_serving target, std::string id)
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -18,7 +18,8 @@
 constexpr auto source_fetcher_poll_interval = milliseconds{100};
 // After this many polls the source is asked instead, although it can carry only few connections.
 constexpr auto max_source_fetcher_polls = 10;
-constexpr auto max_manifest_peers = std::size_t{3};       // peers asked one after another for a manifest
+constexpr auto max_manifest_peers = std::size_t{3}; // peers asked one after another for a manifest
+constexpr auto manifest_retry_delay = seconds{5}; // after the origin did not send a manifest that is doubted
 constexpr auto manifest_peer_avoid_duration = seconds{5}; // after a peer sent a wrong manifest
 constexpr auto max_kept_versions = std::size_t{3};        // versions whose chunks are kept for peers
 constexpr auto same_region_receivers = std::size_t{8};  // agents per round that receive this host's holdings
@@ -221,6 +222,8 @@
     auto const running = std::make_shared<transfer>(
         resources_, version, [this] { return directory_.agents(); }, origin_region());
     transfers_[number] = running;
+    auto const trusted = trusted_manifests_.find(number);
+    if (trusted != trusted_manifests_.end() && clock::now() < trusted->second) running->trust_manifest();
     log_event(log_level::info, "transfer_begun",
               {{"version", version->id()}, {"agents", std::to_string(directory_.agents().size())}});
     // Peers hold no chunks of a version that was declared a moment ago, so they need not be asked first.
@@ -244,6 +247,10 @@
     auto const outcome = received == nullptr          ? "not_received"
                          : received->digest == before ? "same"
                                                       : "replaced";
+    // One that the origin sends twice is right.
+    trusted_manifests_[version] =
+        received == nullptr ? clock::now() + manifest_retry_delay : time_point::max();
+    if (received != nullptr && received->digest != before) trusted_manifests_.erase(version);
     log_event(log_level::warning, "manifest_doubted",
               {{"version", std::to_string(version)}, {"outcome", outcome}});
     context_.metrics_registry.count("weights_manifests_doubted", {{"outcome", outcome}});
@@ -388,6 +395,7 @@
     while (manifests_.size() > max_kept_versions) {
         complete_since_.erase(manifests_.begin()->first);
         told_chunks_.erase(manifests_.begin()->second->id());
+        trusted_manifests_.erase(manifests_.begin()->first);
         chunks_.release(manifests_.begin()->second->id());
         manifests_.erase(manifests_.begin());
     }
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -246,7 +246,7 @@
 auto transfer::count_mismatch(chunk_fetch const& what, fetch_failure failure) -> void
 {
     auto const is_unknown_to_holder = failure == fetch_failure::absent && !what.from_source();
-    if (failure != fetch_failure::corrupt && !is_unknown_to_holder) return;
+    if (trusts_manifest_ || (failure != fetch_failure::corrupt && !is_unknown_to_holder)) return;
     if (++mismatches_[what.chunk] >= max_mismatches) doubted_chunk_ = what.chunk;
 }
 
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -188,49 +188,55 @@
 {
     auto const id = weights_id(target.model, target.version);
     if (record_of(id).machine.state() == version_state::declared) advance(id, version_event::transfer_begun);
+    auto trusts_manifest = false;
     while (true) {
-        auto const done = co_await run_transfer(generation, id);
+        auto const done = co_await run_transfer(generation, id, trusts_manifest);
         if (!is_current(generation)) co_return false;
         if (done) co_return true;
-        auto const code = done.error().code;
-        auto replaced = false;
-        if (code == result_code::chunk_corrupt || code == result_code::manifest_invalid)
-            replaced = co_await replace_doubted_manifest(generation, target);
+        auto const is_doubted = done.error().code == result_code::chunk_corrupt;
+        if (!is_doubted && done.error().code != result_code::manifest_invalid) {
+            mark_failed(id, done.error());
+            co_return false;
+        }
+        auto const check = co_await replace_doubted_manifest(generation, target);
         if (!is_current(generation)) co_return false;
-        // Chunks that do not match a confirmed manifest were altered on their way, and are fetched again.
-        if (replaced || code == result_code::chunk_corrupt) continue;
+        trusts_manifest = check == manifest_check::same;
+        if (is_doubted || check == manifest_check::replaced) continue;
         mark_failed(id, done.error());
         co_return false;
     }
 }
 
 auto weights_service::replace_doubted_manifest(std::uint64_t generation, model_serving target)
-    -> asio::awaitable<bool>
+    -> asio::awaitable<manifest_check>
 {
     auto const id = weights_id(target.model, target.version);
     auto const before = record_of(id).chunks->digest;
     auto const received = co_await manifest_from_source(target);
-    if (!is_current(generation)) co_return false;
-    auto const replaced = received && received.value()->digest != before;
+    if (!is_current(generation)) co_return manifest_check::not_received;
+    auto check = manifest_check::not_received;
+    if (received)
+        check = received.value()->digest == before ? manifest_check::same : manifest_check::replaced;
     log_event(log_level::warning, "manifest_doubted",
-              {{"version", id},
-               {"outcome", replaced   ? "replaced"
-                           : received ? "same"
-                                      : "not_received"}});
-    if (!replaced) {
+              {{"version", id}, {"received", received ? "1" : "0"}, {"digest_before", before}});
+    if (check != manifest_check::replaced) {
         co_await sleep_for(retry_delay);
-        co_return false;
+        co_return check;
     }
     record_of(id).chunks = received.value();
-    co_return reserve_chunks(received.value()).has_value();
+    auto const reserved = reserve_chunks(received.value());
+    if (!reserved) record_error(id, reserved.error());
+    co_return check;
 }
 
-auto weights_service::run_transfer(std::uint64_t generation, std::string id) -> asio::awaitable<result<void>>
+auto weights_service::run_transfer(std::uint64_t generation, std::string id, bool trusts_manifest)
+    -> asio::awaitable<result<void>>
 {
     auto const version = record_of(id).chunks;
     auto const own_transfer = std::make_shared<transfer>(
         resources_, version, [this] { return target_ ? region_hosts(*target_) : std::vector<member>{}; });
     transfer_ = own_transfer;
+    if (trusts_manifest) own_transfer->trust_manifest();
     auto const begun = clock::now();
     auto done = co_await own_transfer->run();
     if (transfer_ == own_transfer) transfer_.reset();
