Doubt a manifest also when the source does not know a chunk

Cause: there a source finds a chunk by its digest and answers 404, which counted as "no source is available now", and peers that lack the chunk are not asked.

The stand-in of the weight source can alter manifests.

Fix: 404 is an error of its own (resource_not_found), and three of them for one chunk end the transfer like copies that do not match.

--- a/src/platform/weight_source_client.cpp
+++ b/src/platform/weight_source_client.cpp
@@ -113,9 +113,10 @@
             auto stream = source_stream{sources_[i].where, std::move(opened).value()};
             co_return stream;
         }
-        last_error = fail(result_code::chunk_unavailable, sources_[i].where.text() + request.target +
-                                                              ": expected status 200 or 206, got " +
-                                                              std::to_string(status));
+        auto const is_unknown = status == 404;
+        last_error = fail(is_unknown ? result_code::resource_not_found : result_code::chunk_unavailable,
+                          sources_[i].where.text() + request.target + ": expected status 200 or 206, got " +
+                              std::to_string(status));
         if (status == 429 || status == 503)
             sources_[i].unavailable_until = clock::now() + retry_after(opened.value()->headers());
         // Reads the short error body before the stream is closed.
--- a/src/weights/transfer.cpp
+++ b/src/weights/transfer.cpp
@@ -241,12 +241,12 @@
     wake();
 }
 
-// A wrong digest in the manifest looks like chunks that are always corrupt, or, since peers find a chunk by
-// its digest, like peers that hold the chunk and do not have it.
+// A wrong digest in the manifest looks like chunks that are always corrupt, or, where chunks are found by
+// their digest, like peers and sources that should have the chunk and do not know it.
 auto transfer::count_mismatch(chunk_fetch const& what, fetch_failure failure) -> void
 {
-    auto const is_unknown_to_holder = failure == fetch_failure::absent && !what.from_source();
-    if (trusts_manifest_ || (failure != fetch_failure::corrupt && !is_unknown_to_holder)) return;
+    if (trusts_manifest_) return;
+    if (failure != fetch_failure::corrupt && failure != fetch_failure::absent) return;
     if (++mismatches_[what.chunk] >= max_mismatches) doubted_chunk_ = what.chunk;
 }
 
@@ -291,8 +291,10 @@
                   {{"version", version_->id()},
                    {"chunk", std::to_string(chunk)},
                    {"reason", opened.error().message}});
-        co_return opened.error().code == result_code::chunk_unavailable ? fetch_failure::limited
-                                                                        : to_failure(opened.error());
+        auto const code = opened.error().code;
+        if (code == result_code::resource_not_found) co_return fetch_failure::absent;
+        co_return code == result_code::chunk_unavailable ? fetch_failure::limited
+                                                         : to_failure(opened.error());
     }
     sender = opened.value().from;
     co_return co_await read_chunk(std::move(opened.value().stream), entry.size);
--- a/standins/standin_weights.cpp
+++ b/standins/standin_weights.cpp
@@ -77,11 +77,27 @@
         name.resize(name.size() - std::string_view{"/manifest"}.size());
         auto const found = manifests_.find(name);
         if (found == manifests_.end()) co_return co_await send_status(out, 404);
-        auto answer = json_response(200, found->second);
+        auto text = found->second;
+        if (alter_manifests_ > 0) {
+            --alter_manifests_;
+            alter_first_digest(text, static_cast<std::size_t>(alter_manifests_));
+        }
+        auto answer = json_response(200, std::move(text));
         bytes_sent_ += found->second.size();
         co_await out.send(std::move(answer));
     }
 
+    // One digit of the first chunk's digest, another one each time.
+    static auto alter_first_digest(std::string& text, std::size_t number) -> void
+    {
+        auto document = nlohmann::json::parse(text);
+        auto digest = document["chunks"][0]["sha256"].get<std::string>();
+        auto& digit = digest[number % digest.size()];
+        digit = digit == '0' ? '1' : '0';
+        document["chunks"][0]["sha256"] = digest;
+        text = document.dump();
+    }
+
     // PUT /v1/models/{model}/{version} {"size","seed","shared_seed","shared_chunks"}
     auto declare(http_request const& request, http_responder& out) -> asio::awaitable<void>
     {
@@ -142,6 +158,7 @@
         auto const body = body_object(request);
         unavailable_ = body.value("unavailable", false);
         corrupt_next_ = body.value("corrupt_blobs", 0);
+        alter_manifests_ = body.value("alter_manifests", 0);
         if (body.contains("rate")) link_.set_rate(body.value("rate", 0.0));
         co_await send_json(out, 200, body);
     }
@@ -156,7 +173,8 @@
     std::uint64_t blob_requests_ = 0;
     std::uint64_t refused_ = 0;
     int transfers_ = 0;
-    int corrupt_next_ = 0;
+    int corrupt_next_ = 0;    // blobs
+    int alter_manifests_ = 0; // manifests
     bool unavailable_ = false;
 };
 
--- a/tests/integration/weights_changes_test.cpp
+++ b/tests/integration/weights_changes_test.cpp
@@ -163,6 +163,16 @@
     CHECK(source_bytes_sent() - before < regions * copy + copy / 2 + regions * 4 * chunk);
 }
 
+// One digit of a chunk's digest is altered in the first manifests that each source sends, so that every host
+// has a wrong one. Guards against hosts that ask for ever for a chunk that nobody knows.
+TEST(weights_while_the_system_changes, a_manifest_altered_on_its_way_is_asked_for_again)
+{
+    begin();
+    set_sources({{"alter_manifests", options.engines}});
+    LONGS_EQUAL(200, system->set_version("v2").status);
+    CHECK(await_active("v2"));
+}
+
 // Guards against a rollout that stops because one engine restarted.
 TEST(weights_while_the_system_changes, engine_restarted_during_a_load_loads_again)
 {
