--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -358,21 +358,6 @@
     return budgets_.try_emplace(service, settings_.retry_limits).first->second;
 }
 
-auto call_relay::end_all(time_point now) -> void
-{
-    for (auto* call : active_) {
-        log_event(log_level::warning, "call_ended_by_stop",
-                  {{"call", call->fields.call_id},
-                   {"sends", std::to_string(call->send_count)},
-                   {"after_ms", ms_text(now - call->arrived_at)}});
-        metrics_registry_.count("calls_ended_by_stop");
-        call->ended_by_stop = true;
-        call->deadline = std::min(call->deadline, now);
-        if (call->connection != nullptr) call->connection->close();
-        if (call->wait_timer != nullptr) call->wait_timer->cancel();
-    }
-}
-
 auto call_relay::set_entry_count(int entries) -> void
 {
     settings_.retry_limits.entries = entries;
