Count the age of a change from the begin of its response

What callers saw: a draft began on weights version 2, 10.9 s after version 3 was acknowledged (bound 8 s).

Cause: a watch took the end of a response for the time of its changes. An operators' watch brought version 3 (revision 684) in one response with a configuration of 1,500 routes (685), over a link that ten entries filled with the configuration before it. The grace period of version 2 began when that response was complete, up to 3.9 s late.

With the receipt at 23.9 s an entry sends to version 2 until 30.95 s; the incident's call was sent at 30.852 s.

Why this works: the changes of a response existed when it began to arrive, and what the store did not have to wait for may be as old as the begin of the response before it. How long the store was waited for is told from how long responses take at the time.

--- a/include/hibiscuswall/fleet/prefix_watcher.hpp
+++ b/include/hibiscuswall/fleet/prefix_watcher.hpp
@@ -62,6 +62,9 @@
     // store had confirmed to this process that nothing had changed.
     [[nodiscard]] auto changed_since() const -> time_point { return changed_since_; }
 
+    // Every change made before this time is known.
+    [[nodiscard]] auto complete_until() const -> time_point { return complete_until_; }
+
     auto set_batch_delay(milliseconds delay) -> void { settings_.batch_delay = delay; }
 
     [[nodiscard]] auto confirmed_at() const -> time_point { return confirmed_at_; }
@@ -71,6 +74,7 @@
     auto read_all() -> asio::awaitable<result<void>>;
     auto watch_once() -> asio::awaitable<result<void>>;
     auto on_store_response() -> void;
+    auto set_change_times(time_point requested_at, time_point begun_at, time_point now) -> void;
     [[nodiscard]] auto arrived_since(time_point now) const -> time_point;
     auto on_store_failure(error const& reason) -> asio::awaitable<void>;
     [[nodiscard]] auto recently_unavailable(time_point now) const -> bool;
@@ -86,9 +90,10 @@
     int consecutive_failures_ = 0;    // store calls that failed since the last response
     int short_watches_remaining_ = 0; // watches that still use short_watch_duration
     time_point confirmed_at_;
-    time_point complete_until_; // every change before this time is known
-    time_point changed_since_;  // see changed_since()
-    time_point recovered_at_;   // time of the first response after failures
+    time_point complete_until_;         // every change before this time is known
+    time_point changed_since_;          // see changed_since()
+    clock::duration response_delay_{0}; // of the latest response of the store, without its wait for a change
+    time_point recovered_at_;           // time of the first response after failures
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/http/http_message.hpp
+++ b/include/hibiscuswall/http/http_message.hpp
@@ -64,6 +64,7 @@
     int status = 200;     // HTTP status
     http_headers headers; // Content-Length is set by the transport
     std::string body;     // whole body
+    time_point begun_at;  // set by http_client::fetch(): when the header was received
 
     http_response() = default;
     http_response(int code, http_headers fields, std::string content)
--- a/src/fleet/prefix_watcher.cpp
+++ b/src/fleet/prefix_watcher.cpp
@@ -12,6 +12,10 @@
 
 constexpr auto recovery_period =
     milliseconds{2'500}; // deletions this soon after an outage may be caused by it
+// A response that begins no later than this many times the usual delay was not held back until there was a
+// change: the change had been made before the request arrived.
+constexpr auto immediate_response_factor = 4;
+constexpr auto min_immediate_response = milliseconds{50}; // of a store that is not busy
 
 } // namespace
 
@@ -38,6 +42,7 @@
     auto const requested_at = clock::now();
     auto range = co_await store_.range(prefix_);
     if (!range) co_return range.error();
+    response_delay_ = clock::now() - requested_at;
     changed_since_ = complete_until_;
     complete_until_ = std::max(complete_until_, requested_at);
     on_store_response();
@@ -60,12 +65,10 @@
 {
     auto const wait = short_watches_remaining_ > 0 ? settings_.short_watch_duration : settings_.wait;
     if (short_watches_remaining_ > 0) --short_watches_remaining_;
+    auto const requested_at = clock::now();
     auto received = co_await store_.watch_prefix(prefix_, revision_, wait);
     if (!received) co_return received.error();
-    // The store responds as soon as there is a change, so the changes are as old as their arrival.
-    auto const arrived = arrived_since(clock::now());
-    changed_since_ = std::max(complete_until_, arrived);
-    complete_until_ = changed_since_;
+    set_change_times(requested_at, received.value().begun_at, clock::now());
     on_store_response();
     revision_ = std::max(revision_, received.value().revision);
     auto const unavailable = recently_unavailable(clock::now());
@@ -82,6 +85,20 @@
     co_return success();
 }
 
+// The store responds as soon as there is a change, so the changes are as old as the begin of the response;
+// its end may be seconds later, because a large value of another key fills the link. If the store did not
+// have to wait for the changes, they were made while the previous response was on its way.
+auto prefix_watcher::set_change_times(time_point requested_at, time_point begun_at, time_point now) -> void
+{
+    auto const begun = std::min({begun_at, arrived_since(begun_at), arrived_since(now)});
+    auto const immediate =
+        std::max(clock::duration{min_immediate_response}, immediate_response_factor * response_delay_);
+    auto const has_waited = begun - requested_at > immediate;
+    response_delay_ = now - begun_at;
+    changed_since_ = has_waited ? std::max(complete_until_, begun) : complete_until_;
+    complete_until_ = std::max(complete_until_, has_waited ? begun : requested_at);
+}
+
 auto prefix_watcher::arrived_since(time_point now) const -> time_point
 {
     return settings_.pauses == nullptr ? now : settings_.pauses->arrived_since(now);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -350,9 +350,12 @@
         co_await state_->exchange(where, std::move(request), options, clock::now() + options.timeout);
     if (!opened) co_return opened.error();
     auto& answer = *opened.value();
+    auto const begun_at = clock::now();
     auto body = co_await answer.read_all();
     if (!body) co_return body.error();
-    co_return http_response{answer.status(), answer.headers(), std::move(body).value()};
+    auto response = http_response{answer.status(), answer.headers(), std::move(body).value()};
+    response.begun_at = begun_at;
+    co_return response;
 }
 
 auto http_client::connect_from(std::string ip) -> void { state_->source = std::move(ip); }
--- a/tests/unit/prefix_watcher_test.cpp
+++ b/tests/unit/prefix_watcher_test.cpp
@@ -4,8 +4,11 @@
 
 #include "support/fake_store.hpp"
 #include "support/run_coroutine.hpp"
+#include "support/scripted_endpoint.hpp"
 #include "support/test_process.hpp"
 
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -181,3 +184,95 @@
     CHECK(run_until([&] { return has_received("change 2"); }));
     CHECK(changed_since.back() <= clock::now() - milliseconds{500});
 }
+
+// ---- a store behind a full link: its responses begin at once and end much later
+
+TEST_GROUP(slow_store)
+{
+    static constexpr auto transfer_time = milliseconds{900};
+
+    std::mutex lock;
+    std::vector<std::string> responses; // bodies of the watches, in order; then nothing changes any more
+    std::vector<milliseconds> delays;   // before each of them begins
+    std::vector<time_point> begun;      // when each of them began
+    scripted_endpoint store{[this](scripted_request const& request) { return respond(request); }};
+    asio::io_context io;
+    timeline events{"mirror", 16};
+    http_client client{io, &events};
+    random_source random{3};
+    key_value_client kv{client, {store.where()}, milliseconds{3'000}};
+    std::map<std::string, time_point> changed_since; // by key
+    std::unique_ptr<prefix_watcher> watcher;
+
+    static auto head(std::size_t size)->std::string
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+    }
+
+    static auto change(std::string const& key, int revision)->std::string
+    {
+        return R"({"key":"p/)" + key + R"(","value":"","revision":)" + std::to_string(revision) + "}";
+    }
+
+    static auto watched(std::string const& changes, int revision)->std::string
+    {
+        return R"({"events":[)" + changes + R"(],"currentRev":)" + std::to_string(revision) + "}";
+    }
+
+    auto respond(scripted_request const& request)->scripted_response
+    {
+        auto response = scripted_response{};
+        auto const range = std::string{R"({"items":[],"hasMore":false,"currentRev":1})"};
+        if (request.line.find("/kv-range") != std::string::npos) {
+            response.bytes = head(range.size()) + range;
+            return response;
+        }
+        auto const guard = std::lock_guard{lock};
+        auto const number = begun.size();
+        auto const last = number >= responses.size();
+        auto const body = last ? watched("", 9) : responses[number];
+        response.delay = last ? milliseconds{200} : delays[number];
+        begun.push_back(clock::now() + response.delay);
+        response.bytes = head(body.size());
+        response.late_bytes = body;
+        response.late_delay = transfer_time;
+        return response;
+    }
+
+    auto run_until_received(std::string const& key)->bool
+    {
+        auto settings = prefix_watcher_settings{};
+        settings.wait = milliseconds{4'000};
+        auto const on_change = [this](store_change const& update, bool) {
+            changed_since[update.key] = watcher->changed_since();
+        };
+        watcher = std::make_unique<prefix_watcher>(
+            kv, random, "p/", settings, prefix_watcher_callbacks{[](store_range const&, bool) {}, on_change});
+        asio::co_spawn(io, watcher->run(), asio::detached);
+        auto const end = clock::now() + milliseconds{5'000};
+        while (!changed_since.contains(key) && clock::now() < end)
+            io.run_one_for(milliseconds{5});
+        return changed_since.contains(key);
+    }
+};
+
+// Guards against a change that counts as made when its response has ended, although a large value of another
+// key held up the end.
+TEST(slow_store, a_change_is_as_old_as_the_begin_of_its_response)
+{
+    responses = {watched(change("large", 2) + "," + change("k", 3), 3)};
+    delays = {milliseconds{400}};
+    CHECK(run_until_received("p/k"));
+    CHECK(changed_since["p/k"] <= begun[0] + milliseconds{300});
+    CHECK(changed_since["p/k"] >= begun[0] - milliseconds{100});
+}
+
+// Guards against a change that counts as made when the next response begins, although it was made while the
+// previous one was on its way.
+TEST(slow_store, a_change_made_during_a_response_may_be_as_old_as_the_begin_of_that_response)
+{
+    responses = {watched(change("large", 2), 2), watched(change("k", 3), 3)};
+    delays = {milliseconds{400}, milliseconds{30}};
+    CHECK(run_until_received("p/k"));
+    CHECK(changed_since["p/k"] <= begun[0] + milliseconds{300});
+}
