Tell entries of a weights declaration on ways that no configuration holds up

An entry learnt of version 3 only with the large configurations that were declared around it, or from another entry, with all of its keys, 1.5 to 2.5 s after the agents beside the engines knew it.

Cause: the declarations shared their way with the configuration: one watch of all operators' keys, and one document from peers. Class: a small message with a deadline behind a large one without. And each process trusted its own receipt alone, though agents in the region of the store knew the declaration 14 ms after it was made.

Why this works: entries watch the declarations apart, as agents do (one class now). Load reports and subscriptions say the newest declaration's revision and how long it has been known; the earliest of these times counts, so that a late receipt is corrected by the first datagram of a process that knew it earlier. An entry fetches a declaration that an agent knows and it does not, without the other keys. A process never tells a supposed time, such as that of a declaration found at its start: only its receipt. A declaration that came alone does not raise the revision up to which a process knows the configuration.

--- a/include/hibiscuswall/fleet/declaration_watch.hpp
+++ b/include/hibiscuswall/fleet/declaration_watch.hpp
@@ -13,16 +13,22 @@
 
 class declaration_watch {
 public:
+    // all_keys: this process's watch of all operators' keys, which tells of declarations as well; null: none.
     declaration_watch(key_value_client& store, random_source& random, declared_state& declared,
-                      pause_detector const& pauses);
+                      pause_detector const& pauses, prefix_watcher const* all_keys = nullptr);
 
     // Runs until the io_context stops.
     auto run() -> asio::awaitable<void> { return watcher_.run(); }
 
+    // Every declaration made before this time is known.
+    [[nodiscard]] auto complete_until() const -> time_point;
+
 private:
     auto callbacks() -> prefix_watcher_callbacks;
+    [[nodiscard]] auto changed_since() const -> time_point;
 
     declared_state& declared_state_;
+    prefix_watcher const* all_keys_;
     prefix_watcher watcher_;
 };
 
--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -10,8 +10,12 @@
 // Never goes back: a change is ignored unless its revision is newer than the known revision of its key.
 //
 // The grace period of an old weights version runs from its successor's declaration, which this process may
-// receive late: after a pause, or after a call to the store that got no response. So each change comes with
-// the earliest time at which it may have been declared.
+// receive late: after a pause, after a call to the store that got no response, or behind a large value. So
+// each change comes with the earliest time at which it may have been declared. Processes also tell each other
+// how long they have known the newest declaration: it was made before any of them knew it.
+//
+//   auto const known = declared.newest_weights(now);        // sent to peers
+//   declared.on_peer_knows(received_from_a_peer, now);      // moves the begin of the grace period back
 
 #include "hibiscuswall/core/time.hpp"
 #include "hibiscuswall/serving/placement.hpp"
@@ -37,7 +41,15 @@
 
 struct declared_weights {
     std::uint64_t version = 1;
-    time_point declared_at; // earliest time at which it may have been declared
+    time_point declared_at;     // earliest time at which it may have been declared
+    time_point known_since;     // earliest time at which a process is known to have received it
+    std::uint64_t revision = 0; // store revision of the declaration
+};
+
+// How long the newest declaration of weights has been known, as processes tell each other.
+struct known_declaration {
+    std::uint64_t revision = 0; // store revision of the declaration; 0: none is known
+    milliseconds age{0};        // since the first process that is known to have received it did
 };
 
 class declared_state {
@@ -48,6 +60,10 @@
     auto apply(store_change const& change, time_point now, time_point since) -> void;
     auto apply(store_change const& change, time_point now) -> void { apply(change, now, now); }
 
+    // Applies a change that came without the earlier changes of other keys, so that revision() stays as it
+    // is.
+    auto apply_alone(store_change const& change, time_point now, time_point since) -> void;
+
     // Merges the complete content of a prefix, as of the given store revision: newer items are stored, and
     // known keys that are absent are deleted unless they changed after that revision. Revision 0 comes from a
     // peer that has no declared state yet and changes nothing.
@@ -63,13 +79,22 @@
     // Takes over from a peer that a weights declaration was made at this time, if that is earlier than known.
     auto correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at) -> void;
 
+    // Whether the item declares weights of which this process lacks an earlier declaration as well.
+    [[nodiscard]] auto skips_versions(store_item const& item) const -> bool;
+
+    // The newest declaration of weights that this process knows, of any model.
+    [[nodiscard]] auto newest_weights(time_point now) const -> known_declaration;
+
+    // Takes over since when a peer has known a declaration that this process knows, too.
+    auto on_peer_knows(known_declaration const& peer, time_point now) -> void;
+
     // Records that this state is complete up to the revision, after a peer sent its complete state.
     auto agree(std::uint64_t revision) -> void { revision_ = std::max(revision_, revision); }
 
     [[nodiscard]] auto map() const -> service_map_ptr const& { return map_; }
     [[nodiscard]] auto out_of_service() const -> failure_domain_set const& { return out_of_service_; }
 
-    // Store revision of the newest operator change that this process knows.
+    // Store revision up to which this process knows all operator changes, as far as it keeps them.
     [[nodiscard]] auto revision() const -> std::uint64_t { return revision_; }
 
     // Store revision of the newest weights declaration that this process knows.
@@ -98,9 +123,12 @@
     auto put_item(std::string_view key, std::string const& value, std::uint64_t revision, time_point now,
                   time_point since) -> bool;
     auto delete_item(std::string_view key, std::uint64_t revision) -> bool;
+    [[nodiscard]] auto has_read(std::string_view prefix) const -> bool;
+    static auto set_declared_at(std::string_view model, declared_weights& declaration, time_point declared_at)
+        -> void;
     auto apply_configuration(std::string const& value, std::uint64_t revision) -> void;
-    auto apply_weights_version(std::string const& model, std::string const& value, time_point now,
-                               time_point since) -> void;
+    auto apply_weights_version(std::string const& model, std::string const& value, std::uint64_t revision,
+                               time_point now, time_point since) -> void;
 
     declared_state_settings settings_;
     service_map_ptr map_;
--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -31,7 +31,7 @@
 public:
     // Agents listen on their engine's IP address and on the port of this process's peer address.
     load_report_receiver(asio::io_context& io, member const& self, endpoint_table& endpoints,
-                         declared_state const& declared);
+                         declared_state& declared);
 
     auto start() -> result<void>;
 
@@ -68,18 +68,24 @@
     // Peer address of an entry that knows a newer operator change than this process, if one is known.
     [[nodiscard]] auto newer_peer() const -> std::optional<address>;
 
+    // Peer address of an agent that knows a newer weights declaration than this process, if one is known.
+    [[nodiscard]] auto newer_weights_peer() const -> std::optional<address>;
+
 private:
     auto receive() -> asio::awaitable<void>;
     auto subscribe() -> asio::awaitable<void>;
-    auto on_report_received(load_report const& report) -> void;
+    auto on_report_received(load_report const& report, address const& agent) -> void;
+    auto on_declaration_known(load_report const& report, address const& agent, time_point now) -> void;
     [[nodiscard]] auto has_agent(tracked_endpoint const& endpoint) const -> bool;
 
     asio::ip::udp::socket socket_;
     member const& self_;
     endpoint_table& endpoints_;
-    declared_state const& declared_state_;
-    std::uint64_t peer_revision_ = 0; // newest operator change that a load report named
-    address most_current_peer_;       // entry that knows peer_revision_
+    declared_state& declared_state_;
+    std::uint64_t weights_peer_revision_ = 0; // newest weights declaration that a load report named
+    address weights_peer_;                    // agent that knows it, preferably of this region
+    std::uint64_t peer_revision_ = 0;         // newest operator change that a load report named
+    address most_current_peer_;               // entry that knows peer_revision_
     std::function<void()> on_load_report_;
     quarantine_callback on_quarantine_records_;
     std::function<double()> shed_level_source_;
@@ -89,7 +95,7 @@
 
 class load_report_sender {
 public:
-    load_report_sender(asio::io_context& io, member const& self, declared_state const& declared);
+    load_report_sender(asio::io_context& io, member const& self, declared_state& declared);
 
     auto start() -> result<void>;
 
@@ -121,7 +127,7 @@
 
     asio::ip::udp::socket socket_;
     member const& self_;
-    declared_state const& declared_state_;
+    declared_state& declared_state_;
     subscriber_map subscribers_;
     std::function<void(chunk_holdings const&)> on_holdings_;
     bool was_idle_ = false;                // in the latest report that was sent
--- a/include/hibiscuswall/fleet/operator_sync.hpp
+++ b/include/hibiscuswall/fleet/operator_sync.hpp
@@ -2,7 +2,8 @@
 // Fetches operator changes from peers, for a process whose store calls are rejected or whose connection to
 // the store is stalled.
 //
-//   auto sync = operator_sync{context, declared, operator_scope::all, [&] { return loads.newer_peer(); }};
+//   auto sync = operator_sync{context, declared, operator_scope::all,
+//                             [&] { return watch.complete_until(); }, [&] { return loads.newer_peer(); }};
 //   asio::co_spawn(io, sync.run(), asio::detached);
 //
 // Serves this process's copy of the operators' keys on the peer address: GET /fleet/operators returns all of
@@ -15,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hibiscuswall {
 
@@ -41,22 +43,35 @@
 public:
     // Returns the peer address of a process that is known to have a newer change, if there is one.
     using peer_function = std::function<std::optional<address>()>;
+    using time_function = std::function<time_point()>;
 
+    // declarations_known_until: every weights declaration made before this time is known from the store.
+    // newer_weights_peer names a process with a newer weights declaration, for a process that keeps all keys;
+    // declarations are fetched without the rest, which may be large.
     operator_sync(process_context& context, declared_state& declared, operator_scope scope,
-                  peer_function newer_peer);
+                  time_function declarations_known_until, peer_function newer_peer,
+                  peer_function newer_weights_peer = {});
 
     // Fetches from a peer that stays ahead longer than the store's watch usually takes; at once as long as no
     // configuration is known. Runs until the io_context stops.
     auto run() -> asio::awaitable<void>;
 
 private:
-    auto fetch(address peer) -> asio::awaitable<void>;
+    // When this process was first seen to be behind a peer; none while it is not.
+    using behind_time = std::optional<time_point>;
+
+    auto fetch_if_behind(peer_function const& newer_peer, operator_scope scope, behind_time& behind_since)
+        -> asio::awaitable<void>;
+    auto fetch(address peer, operator_scope scope) -> asio::awaitable<void>;
+    auto take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at) -> void;
     auto services() -> operator_snapshot;
 
     process_context& context_;
     declared_state& declared_state_;
     operator_scope scope_;
+    time_function declarations_known_until_;
     peer_function newer_peer_;
+    peer_function newer_weights_peer_;
     operator_snapshot
         services_snapshot_; // cached response to GET /fleet/services; rebuilt after a new revision
 };
--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -27,6 +27,7 @@
     double shed_level = 0;               // fraction of callers that the subscriber sheds
     std::int64_t sent_at_us = 0;         // subscriber's steady clock, echoed in load reports
     std::uint64_t records_revision = 0;  // newest change of an endpoint's record known to the subscriber
+    milliseconds weights_age{0};         // since a process is known to have received that declaration
 };
 
 struct load_report {
@@ -44,6 +45,8 @@
     std::optional<address> most_current_peer;     // peer address of the subscriber that knows it
     double shed_level = 0;                        // mean over the subscribers
     std::uint64_t records_revision = 0; // newest change of an endpoint's record known to any subscriber
+    std::uint64_t weights_revision = 0; // newest weights declaration known to the agent
+    milliseconds weights_age{0};        // since a process is known to have received that declaration
     // Set by encode_for_subscriber(): sent_at_us of the receiver's latest subscription, and the time since
     // that subscription arrived at the agent.
     std::int64_t echoed_sent_at_us = 0;
--- a/src/daemon/direct_agent.cpp
+++ b/src/daemon/direct_agent.cpp
@@ -1,9 +1,9 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_base.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
+#include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
-#include "hibiscuswall/fleet/prefix_watcher.hpp"
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "hibiscuswall/weights/engine_weights_controller.hpp"
@@ -17,7 +17,6 @@
 constexpr auto bytes_per_mbit = 125'000.0;
 constexpr auto upload_share = 0.8; // of the link; the rest is for the engine's streams
 constexpr auto download_share = 1.0;
-constexpr auto declaration_wait = milliseconds{15'000};
 constexpr auto entries_time = milliseconds{5'000}; // for entries to tell the services
 
 auto keeper_settings(direct_agent_settings const& settings) -> engine_weights_settings
@@ -54,7 +53,7 @@
     key_value_client store;
     declared_state declared;
     load_report_sender loads;
-    prefix_watcher declarations;
+    declaration_watch declarations;
     operator_sync exchange;
     agent_directory directory;
     engine_weights_controller keeper;
@@ -64,35 +63,15 @@
                                                    {settings.store},
                                                    settings.store_timeout},
           declared{settings.declared}, loads{base.context().io, base.context().self, declared},
-          declarations{store, base.context().random, std::string{platform::weights_prefix},
-                       declaration_settings(), declaration_events()},
-          exchange{base.context(), declared, operator_scope::weights, [this] { return loads.newer_peer(); }},
+          declarations{store, base.context().random, declared, base.pauses()},
+          exchange{base.context(), declared, operator_scope::weights,
+                   [this] { return declarations.complete_until(); }, [this] { return loads.newer_peer(); }},
           directory{store, base.context().self, settings.regions}, keeper{base.context(), declared, directory,
                                                                           loads, keeper_settings(settings)}
     {
         base.ready_when([this] { return declared.map() != nullptr && keeper.serves_newest_version(); });
     }
 
-    // Entries tell an agent whose watch went silent that there is a newer declaration.
-    auto declaration_settings() const -> prefix_watcher_settings
-    {
-        auto settings = prefix_watcher_settings{};
-        settings.pauses = &base.pauses();
-        settings.wait = declaration_wait;
-        return settings;
-    }
-
-    auto declaration_events() -> prefix_watcher_callbacks
-    {
-        return {[this](store_range const& found, bool /*store_was_unavailable*/) {
-                    declared.replace(platform::weights_prefix, found.items, found.revision, clock::now(),
-                                     declarations.changed_since());
-                },
-                [this](store_change const& change, bool /*store_was_unavailable*/) {
-                    declared.apply(change, clock::now(), declarations.changed_since());
-                }};
-    }
-
     // An agent needs only its service's description out of the configuration, which entries tell in short.
     // The whole document, sent to every agent, fills the links between regions: it is read only where no
     // entry tells.
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -1,6 +1,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_base.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
+#include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/entry_directory.hpp"
 #include "hibiscuswall/fleet/entry_registration.hpp"
 #include "hibiscuswall/fleet/load_report_channel.hpp"
@@ -55,6 +56,7 @@
     http_server caller_server;
     http_server ready_server;
     prefix_watcher operators;
+    declaration_watch declarations;
     prefix_watcher listing;
     entry_directory directory;
     entry_registration registration;
@@ -89,13 +91,19 @@
           ready_server{base.context().io, ready_routes, nullptr, {}},
           operators{store, base.context().random, std::string{platform::operator_prefix},
                     operator_settings(watch_wait(settings)), operator_events()},
+          declarations{store, base.context().random, declared, base.pauses(), &operators},
           listing{store, base.context().random, std::string{platform::endpoint_prefix},
                   listing_settings(watch_wait(settings)), listing_events()},
           directory{{}, listing_of(settings.self)}, registration{store, base.context().random,
                                                                  listing_of(settings.self)},
           directory_watcher{store, base.context().random, std::string{entry_prefix}, directory_settings(),
                             directory_events()},
-          exchange{base.context(), declared, operator_scope::all, [this] { return loads.newer_peer(); }},
+          exchange{base.context(),
+                   declared,
+                   operator_scope::all,
+                   [this] { return declarations.complete_until(); },
+                   [this] { return loads.newer_peer(); },
+                   [this] { return loads.newer_weights_peer(); }},
           stop_time{settings.stop_time}
     {
         caller_routes.add("*", "/", [this](http_request const& request, http_responder& out) {
@@ -349,6 +357,7 @@
             start_loop(io.get_executor(), name, std::move(loop), &base.context().metrics_registry);
         };
         start("operators", [this] { return operators.run(); });
+        start("declarations", [this] { return declarations.run(); });
         start("endpoints", [this] { return listing.run(); });
         start("registration", [this] { return registration.run(); });
         start("entries", [this] { return directory_watcher.run(); });
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -13,6 +13,8 @@
 // engine for most of a second before it starts.
 constexpr auto version_switch_margin = milliseconds{950};
 constexpr auto max_declarations = std::size_t{8}; // kept for each model
+// Smaller corrections of the time of a declaration come with nearly every message of a peer.
+constexpr auto min_logged_correction = milliseconds{100};
 
 auto ms_text(clock::duration span) -> std::string
 {
@@ -22,10 +24,15 @@
 } // namespace
 
 auto declared_state::apply(store_change const& change, time_point now, time_point since) -> void
+{
+    revision_ = std::max(revision_, change.revision);
+    apply_alone(change, now, since);
+}
+
+auto declared_state::apply_alone(store_change const& change, time_point now, time_point since) -> void
 {
     auto const applied = change.value ? put_item(change.key, *change.value, change.revision, now, since)
                                       : delete_item(change.key, change.revision);
-    revision_ = std::max(revision_, change.revision);
     if (!applied) return;
     changed_at_ = now;
     if (on_change_) on_change_();
@@ -37,8 +44,8 @@
     // Store revisions start above 0; 0 comes from a peer that has no declared state yet.
     if (revision == 0) return;
     // Items found by the first read may have been declared long ago, so they get no grace period.
-    auto const is_first = read_prefixes_.insert(std::string{prefix}).second;
-    if (is_first) since = now - settings_.old_version_grace_period;
+    if (!has_read(prefix)) since = now - settings_.old_version_grace_period;
+    read_prefixes_.insert(std::string{prefix});
     auto present = std::set<std::string_view>{};
     auto applied = false;
     for (auto const& item : items) {
@@ -51,13 +58,21 @@
             deleted_keys.push_back(key);
     for (auto const& key : deleted_keys)
         applied = delete_item(key, revision) || applied;
-    for (auto const& item : items)
-        revision_ = std::max(revision_, item.revision);
+    if (prefix == platform::operator_prefix)
+        for (auto const& item : items)
+            revision_ = std::max(revision_, item.revision);
     if (!applied) return;
     changed_at_ = now;
     if (on_change_) on_change_();
 }
 
+// Whether the prefix was read before, by itself or as a part of a shorter one.
+auto declared_state::has_read(std::string_view prefix) const -> bool
+{
+    return std::any_of(read_prefixes_.begin(), read_prefixes_.end(),
+                       [&](auto const& each) { return prefix.starts_with(each); });
+}
+
 auto declared_state::put_item(std::string_view key, std::string const& value, std::uint64_t revision,
                               time_point now, time_point since) -> bool
 {
@@ -69,7 +84,7 @@
     if (platform::is_configuration(key)) apply_configuration(value, revision);
     if (auto const model = platform::declared_model(key)) {
         weights_revision_ = std::max(weights_revision_, revision);
-        apply_weights_version(*model, value, now, since);
+        apply_weights_version(*model, value, revision, now, since);
     }
     if (auto domain = platform::evacuated_domain(key)) {
         log_event(log_level::info, "failure_domain_out",
@@ -111,8 +126,8 @@
                {"routes", std::to_string(map_->routes().size())}});
 }
 
-auto declared_state::apply_weights_version(std::string const& model, std::string const& value, time_point now,
-                                           time_point since) -> void
+auto declared_state::apply_weights_version(std::string const& model, std::string const& value,
+                                           std::uint64_t revision, time_point now, time_point since) -> void
 {
     auto const version = platform::decode_weights_version(value);
     if (!version) {
@@ -122,7 +137,7 @@
     }
     auto& list = versions_[model];
     if (!list.empty() && list.back().version >= version.value()) return;
-    list.push_back({version.value(), since});
+    list.push_back({version.value(), since, now, revision});
     if (list.size() > max_declarations) list.erase(list.begin());
     log_event(log_level::info, "weights_declared",
               {{"model", model},
@@ -133,18 +148,50 @@
 auto declared_state::correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at)
     -> void
 {
-    auto const item = items_.find(key);
     auto const model = platform::declared_model(key);
-    if (!model || item == items_.end() || item->second.revision != revision) return;
-    auto const found = versions_.find(*model);
-    if (found == versions_.end() || found->second.empty()) return;
-    auto& known = found->second.back().declared_at;
-    if (declared_at >= known) return;
+    auto const found = model ? versions_.find(*model) : versions_.end();
+    if (found == versions_.end() || found->second.back().revision != revision) return;
+    set_declared_at(*model, found->second.back(), declared_at);
+}
+
+auto declared_state::set_declared_at(std::string_view model, declared_weights& declaration,
+                                     time_point declared_at) -> void
+{
+    if (declared_at >= declaration.declared_at) return;
+    auto const by = declaration.declared_at - declared_at;
+    declaration.declared_at = declared_at;
+    if (by < min_logged_correction) return;
     log_event(log_level::info, "weights_declared_earlier",
-              {{"model", *model},
-               {"version", std::to_string(found->second.back().version)},
-               {"by_ms", ms_text(known - declared_at)}});
-    known = declared_at;
+              {{"model", std::string{model}},
+               {"version", std::to_string(declaration.version)},
+               {"by_ms", ms_text(by)}});
+}
+
+auto declared_state::skips_versions(store_item const& item) const -> bool
+{
+    auto const model = platform::declared_model(item.key);
+    if (!model) return false;
+    auto const version = platform::decode_weights_version(item.value);
+    return version && version.value() > newest_version(*model) + 1;
+}
+
+auto declared_state::newest_weights(time_point now) const -> known_declaration
+{
+    auto newest = known_declaration{weights_revision_, milliseconds{0}};
+    for (auto const& [model, list] : versions_)
+        if (list.back().revision == weights_revision_)
+            newest.age = std::chrono::duration_cast<milliseconds>(now - list.back().known_since);
+    return newest;
+}
+
+auto declared_state::on_peer_knows(known_declaration const& peer, time_point now) -> void
+{
+    for (auto& [model, list] : versions_)
+        for (auto& each : list) {
+            if (each.revision != peer.revision) continue;
+            each.known_since = std::min(each.known_since, now - peer.age);
+            set_declared_at(model, each, each.known_since);
+        }
 }
 
 auto declared_state::declared_versions(std::string_view model) const -> std::span<declared_weights const>
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -59,7 +59,7 @@
 // ---- entry
 
 load_report_receiver::load_report_receiver(asio::io_context& io, member const& self,
-                                           endpoint_table& endpoints, declared_state const& declared)
+                                           endpoint_table& endpoints, declared_state& declared)
     : socket_{io}, self_{self}, endpoints_{endpoints}, declared_state_{declared}
 {
 }
@@ -83,7 +83,8 @@
         if (code) continue; // for example: the port is closed on the other side
         auto const message = decode_datagram({buffer.data(), size});
         if (!message) continue;
-        if (auto const* report = std::get_if<load_report>(&*message)) on_report_received(*report);
+        if (auto const* report = std::get_if<load_report>(&*message))
+            on_report_received(*report, to_address(from));
         auto const* records = std::get_if<quarantine_records>(&*message);
         if (records != nullptr && on_quarantine_records_) on_quarantine_records_(*records, to_address(from));
     }
@@ -100,12 +101,32 @@
     return most_current_peer_;
 }
 
-auto load_report_receiver::on_report_received(load_report const& report) -> void
+auto load_report_receiver::newer_weights_peer() const -> std::optional<address>
+{
+    if (weights_peer_revision_ <= declared_state_.weights_revision()) return std::nullopt;
+    return weights_peer_;
+}
+
+auto load_report_receiver::on_declaration_known(load_report const& report, address const& agent,
+                                                time_point now) -> void
+{
+    declared_state_.on_peer_knows({report.weights_revision, report.weights_age}, now);
+    if (report.weights_revision < weights_peer_revision_) return;
+    auto const is_same_region =
+        std::find(report.same_region_entries.begin(), report.same_region_entries.end(), self_.name) !=
+        report.same_region_entries.end();
+    if (report.weights_revision == weights_peer_revision_ && !is_same_region) return;
+    weights_peer_revision_ = report.weights_revision;
+    weights_peer_ = agent;
+}
+
+auto load_report_receiver::on_report_received(load_report const& report, address const& agent) -> void
 {
     auto const now = clock::now();
     auto const round_trip =
         microseconds{microseconds_of(now) - report.echoed_sent_at_us - report.subscription_age_us};
     endpoints_.on_load_report(report, round_trip, now);
+    on_declaration_known(report, agent, now);
     if (on_load_report_) on_load_report_();
     peer_records_revision_ = std::max(peer_records_revision_, report.records_revision);
     if (!report.most_current_peer || report.operator_revision < peer_revision_) return;
@@ -125,10 +146,12 @@
 auto load_report_receiver::subscribe() -> asio::awaitable<void>
 {
     while (true) {
-        auto const bytes = encode(subscription{
-            self_.name, self_.region, declared_state_.revision(), declared_state_.weights_revision(),
-            shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(clock::now()),
-            records_revision_source_ ? records_revision_source_() : 0});
+        auto const now = clock::now();
+        auto const weights = declared_state_.newest_weights(now);
+        auto const bytes =
+            encode(subscription{self_.name, self_.region, declared_state_.revision(), weights.revision,
+                                shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(now),
+                                records_revision_source_ ? records_revision_source_() : 0, weights.age});
         auto agents = std::set<std::string>{};
         for (auto const& [id, endpoint] : endpoints_.all())
             if (endpoint->assigned && has_agent(*endpoint)) agents.insert(endpoint->record.where.ip);
@@ -141,8 +164,7 @@
 
 // ---- agent
 
-load_report_sender::load_report_sender(asio::io_context& io, member const& self,
-                                       declared_state const& declared)
+load_report_sender::load_report_sender(asio::io_context& io, member const& self, declared_state& declared)
     : socket_{io}, self_{self}, declared_state_{declared}
 {
 }
@@ -165,8 +187,11 @@
         if (code) continue;
         auto const message = decode_datagram({buffer.data(), size});
         if (!message) continue;
-        if (auto const* received = std::get_if<subscription>(&*message))
-            subscribers_[from] = {clock::now(), *received};
+        if (auto const* received = std::get_if<subscription>(&*message)) {
+            auto const now = clock::now();
+            subscribers_[from] = {now, *received};
+            declared_state_.on_peer_knows({received->weights_revision, received->weights_age}, now);
+        }
         auto const* held = std::get_if<chunk_holdings>(&*message);
         if (held != nullptr && on_holdings_) on_holdings_(*held);
     }
@@ -231,6 +256,9 @@
     if (!is_due(report, now)) return;
     report.subscriber_count = static_cast<int>(subscribers_.size());
     set_most_current_peer(report);
+    auto const weights = declared_state_.newest_weights(now);
+    report.weights_revision = weights.revision;
+    report.weights_age = weights.age;
     report.same_region_entries.clear();
     report.shed_level = 0;
     for (auto const& [to, entry] : subscribers_)
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -59,8 +59,11 @@
 }
 
 operator_sync::operator_sync(process_context& context, declared_state& declared, operator_scope scope,
-                             peer_function newer_peer)
-    : context_{context}, declared_state_{declared}, scope_{scope}, newer_peer_{std::move(newer_peer)}
+                             time_function declarations_known_until, peer_function newer_peer,
+                             peer_function newer_weights_peer)
+    : context_{context}, declared_state_{declared}, scope_{scope}, declarations_known_until_{std::move(
+                                                                       declarations_known_until)},
+      newer_peer_{std::move(newer_peer)}, newer_weights_peer_{std::move(newer_weights_peer)}
 {
     auto const respond = [](http_responder& out, operator_snapshot snapshot) -> asio::awaitable<void> {
         co_await out.send(json_response(200, encode(snapshot)));
@@ -94,31 +97,40 @@
 
 auto operator_sync::run() -> asio::awaitable<void>
 {
-    auto behind_since = std::optional<time_point>{};
+    auto behind_since = behind_time{};
+    auto weights_behind_since = behind_time{};
     while (true) {
         co_await sleep_for(poll_interval);
-        auto const peer = newer_peer_();
-        auto const now = clock::now();
-        if (!peer) {
-            behind_since.reset();
-            continue;
-        }
-        if (!behind_since) behind_since = now;
-        // Without a configuration, fetches from the peer at once instead of waiting for the store.
-        if (declared_state_.map() != nullptr && now - *behind_since < store_catch_up_delay) continue;
-        co_await fetch(*peer);
+        if (newer_weights_peer_)
+            co_await fetch_if_behind(newer_weights_peer_, operator_scope::weights, weights_behind_since);
+        co_await fetch_if_behind(newer_peer_, scope_, behind_since);
+    }
+}
+
+auto operator_sync::fetch_if_behind(peer_function const& newer_peer, operator_scope scope,
+                                    behind_time& behind_since) -> asio::awaitable<void>
+{
+    auto const peer = newer_peer();
+    auto const now = clock::now();
+    if (!peer) {
         behind_since.reset();
+        co_return;
     }
+    if (!behind_since) behind_since = now;
+    // Without a configuration, fetches from the peer at once instead of waiting for the store.
+    if (declared_state_.map() != nullptr && now - *behind_since < store_catch_up_delay) co_return;
+    co_await fetch(*peer, scope);
+    behind_since.reset();
 }
 
-auto operator_sync::fetch(address peer) -> asio::awaitable<void>
+auto operator_sync::fetch(address peer, operator_scope scope) -> asio::awaitable<void>
 {
     auto options = http_call_options{};
     options.connect_timeout = connect_timeout;
     options.timeout = fetch_timeout;
     options.purpose = "operators";
-    auto const needs_all = scope_ == operator_scope::all;
-    auto const needs_services = !needs_all && declared_state_.map() == nullptr;
+    auto const needs_all = scope == operator_scope::all;
+    auto const needs_services = scope_ == operator_scope::weights && declared_state_.map() == nullptr;
     auto const path = needs_all ? all_path : needs_services ? services_path : weights_path;
     auto const prefix = needs_all        ? platform::operator_prefix
                         : needs_services ? platform::configuration_key
@@ -143,11 +155,17 @@
                {"revision", snapshot ? std::to_string(snapshot->revision) : "none"},
                {"outcome", outcome}});
     if (!snapshot || snapshot->revision < known_revision) co_return;
-    declared_state_.replace(prefix, snapshot->items, snapshot->revision, clock::now());
-    for (auto const& item : snapshot->items)
-        if (auto const age = snapshot->ages.find(item.key); age != snapshot->ages.end())
-            declared_state_.correct_declaration(item.key, item.revision, requested_at - age->second);
+    take(*snapshot, prefix, requested_at);
     if (needs_all) declared_state_.agree(snapshot->revision);
 }
 
+auto operator_sync::take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at)
+    -> void
+{
+    declared_state_.replace(prefix, snapshot.items, snapshot.revision, clock::now());
+    for (auto const& item : snapshot.items)
+        if (auto const age = snapshot.ages.find(item.key); age != snapshot.ages.end())
+            declared_state_.correct_declaration(item.key, item.revision, requested_at - age->second);
+}
+
 } // namespace hibiscuswall
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -17,7 +17,9 @@
 // Absent in datagrams of earlier builds.
 constexpr auto leaving_field = std::size_t{12}; // of a load report
 constexpr auto records_field = std::size_t{13}; // of a load report
+constexpr auto weights_field = std::size_t{14}; // of a load report: revision, then age
 constexpr auto subscription_records_field = std::size_t{7};
+constexpr auto subscription_weights_age_field = std::size_t{8};
 // Ranges of quarantine records. One segment with the longest names and most marks fits into a datagram.
 constexpr auto max_name_bytes = std::size_t{256}; // of an entry, a model or a segment
 constexpr auto max_marks = std::size_t{16};       // of one segment
@@ -44,6 +46,11 @@
                           value.at(2).get<int>(), value.at(3).get<int>()};
 }
 
+auto age_from(json const& value) -> milliseconds
+{
+    return std::clamp(milliseconds{value.get<std::int64_t>()}, milliseconds{0}, max_age);
+}
+
 auto subscription_from(json const& message) -> subscription
 {
     auto decoded = subscription{};
@@ -55,6 +62,8 @@
     decoded.shed_level = message.at(6).get<double>();
     if (message.size() > subscription_records_field)
         decoded.records_revision = message[subscription_records_field].get<std::uint64_t>();
+    if (message.size() > subscription_weights_age_field)
+        decoded.weights_age = age_from(message[subscription_weights_age_field]);
     return decoded;
 }
 
@@ -83,6 +92,10 @@
     report.shed_level = message.at(11).get<double>();
     if (message.size() > records_field) report.records_revision = message[records_field].get<std::uint64_t>();
     report.leaving = message.size() > leaving_field && message[leaving_field].get<bool>();
+    if (message.size() > weights_field + 1) {
+        report.weights_revision = message[weights_field].get<std::uint64_t>();
+        report.weights_age = age_from(message[weights_field + 1]);
+    }
     return report;
 }
 
@@ -158,17 +171,17 @@
 {
     return to_bytes(json::array({subscription_tag, message.entry, message.operator_revision,
                                  message.sent_at_us, message.region, message.weights_revision,
-                                 message.shed_level, message.records_revision}));
+                                 message.shed_level, message.records_revision, message.weights_age.count()}));
 }
 
 auto encode(load_report const& message) -> std::string
 {
-    return to_bytes(
-        json::array({message.where.text(), message.started_at_ms, message.running, message.queued,
-                     message.slowdown, weights_json(message.weights), message.paused,
-                     message.subscriber_count, message.operator_revision, message.same_region_entries,
-                     message.most_current_peer ? message.most_current_peer->text() : std::string{},
-                     message.shed_level, message.leaving, message.records_revision}));
+    return to_bytes(json::array(
+        {message.where.text(), message.started_at_ms, message.running, message.queued, message.slowdown,
+         weights_json(message.weights), message.paused, message.subscriber_count, message.operator_revision,
+         message.same_region_entries,
+         message.most_current_peer ? message.most_current_peer->text() : std::string{}, message.shed_level,
+         message.leaving, message.records_revision, message.weights_revision, message.weights_age.count()}));
 }
 
 auto encode_for_subscriber(std::string_view encoded_report, std::int64_t echoed_sent_at_us,
--- a/tests/integration/late_declaration_test.cpp
+++ b/tests/integration/late_declaration_test.cpp
@@ -1,5 +1,10 @@
 // An entry that learns of a weights declaration late, because its link to the store carries a large
 // configuration.
+#include "hibiscuswall/serving/load_datagram.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
 #include "support/direct_engine_base.hpp"
 
 using namespace hibiscuswall;
@@ -45,6 +50,31 @@
         std::this_thread::sleep_for(std::max(until - clock::now(), clock::duration{0}));
     }
 
+    // What an agent answers that knows this declaration.
+    static auto declaration(std::uint64_t weights_version, std::uint64_t revision, milliseconds age)
+        ->scripted_response
+    {
+        auto const value = encode_base64(json{{"model", "m"}, {"version", weights_version}}.dump());
+        auto document = json{{"revision", revision}, {"ages_ms", {{"op/version/m", age.count()}}}};
+        document["items"] = json::array();
+        document["items"].push_back(json::array({"op/version/m", value, revision}));
+        auto const body = document.dump();
+        return scripted_response{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                 "\r\n\r\n" + body};
+    }
+
+    // Sends the entry a datagram from the given address.
+    auto send_datagram(address const& from, std::string const& bytes)->void
+    {
+        using udp = boost::asio::ip::udp;
+        auto const endpoint_of = [](address const& where) {
+            return udp::endpoint{boost::asio::ip::make_address(where.ip), where.port};
+        };
+        auto io = boost::asio::io_context{};
+        auto socket = udp::socket{io, endpoint_of(from)};
+        socket.send_to(boost::asio::buffer(bytes), endpoint_of(peers));
+    }
+
     void teardown() override
     {
         proxy.kill();
@@ -76,3 +106,31 @@
     sleep_until(declared_at + excluded_after);
     CHECK_EQUAL(503, ask("/read/a").status);
 }
+
+// The store tells this entry nothing any more. Guards against an entry that learns of a declaration only from
+// the store or from other entries, although the agents of the engines that it sends to know it.
+TEST(late_declaration, an_entry_without_the_store_gets_a_declaration_and_its_age_from_an_agent)
+{
+    constexpr auto age = milliseconds{2'000}; // of the declaration, when the agent tells it
+    constexpr auto revision = std::uint64_t{1'000'000};
+    auto endpoint =
+        scripted_endpoint{[](auto const& request) { return scripted_response{signed_ok(request, "a")}; }};
+    auto agent = scripted_endpoint{[&](auto const& /*request*/) { return declaration(2, revision, age); }};
+    entry_settings["version_time_ms"] = version_time.count();
+    configure_engine();
+    put_engine(endpoint);
+    start_entry_behind_proxy();
+    CHECK_EQUAL(200, ask("/read/a").status);
+    CHECK_EQUAL(200, call(proxy_control, {"POST", "/v1/faults", {}, json{{"stall", true}}.dump()}).status);
+
+    auto report = load_report{};
+    report.where = agent.where(); // of an engine that the store does not list
+    report.weights_revision = revision;
+    report.weights_age = age;
+    auto const told_at = clock::now();
+    send_datagram(agent.where(), encode_for_subscriber(encode(report), 0, 0));
+    sleep_until(told_at + milliseconds{800});
+    CHECK_EQUAL(200, ask("/read/a").status); // still within the grace period
+    sleep_until(told_at + excluded_after - age);
+    CHECK_EQUAL(503, ask("/read/a").status);
+}
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -293,6 +293,45 @@
     CHECK_EQUAL(3U, declared.min_version("m", now + milliseconds{21'100}));
 }
 
+// Guards against an old version that is allowed too long by a process that received its successor late, when
+// others have known it for longer.
+TEST(declared_state, the_grace_period_begins_when_any_process_knew_the_declaration)
+{
+    declared.replace("op/", {}, 1, now);
+    declared.apply({"op/version/m", R"({"model":"m","version":2})", 9}, now);
+    declared.on_peer_knows({9, milliseconds{3'000}}, now);
+    declared.on_peer_knows({9, milliseconds{1'000}}, now); // a peer that received it later
+    declared.on_peer_knows({8, milliseconds{6'000}}, now); // of an older declaration
+    CHECK_EQUAL(0U, declared.min_version("m", now + milliseconds{4'000}));
+    CHECK_EQUAL(2U, declared.min_version("m", now + milliseconds{4'100}));
+    CHECK_EQUAL(9U, declared.newest_weights(now).revision);
+    CHECK_EQUAL(3'000, declared.newest_weights(now).age.count());
+}
+
+// Guards against one process that has just started, and takes what it found for old, making all others
+// exclude the old version at once.
+TEST(declared_state, peers_are_told_the_time_of_the_receipt_not_a_supposed_one)
+{
+    declared.replace("op/", {{"op/version/m", R"({"model":"m","version":2})", 9}}, 9, now);
+    CHECK_EQUAL(2U, declared.min_version("m", now));
+    CHECK_EQUAL(0, declared.newest_weights(now).age.count());
+}
+
+// A declaration comes on a shorter way than the other keys. Guards against a process that takes itself for up
+// to date with the configuration then, and asks no peer for it.
+TEST(declared_state, a_declaration_received_alone_does_not_make_the_rest_known)
+{
+    declared.replace("op/", {{"op/config", configuration(3, {}), 10}}, 10, now);
+    declared.apply_alone({"op/version/m", R"({"model":"m","version":2})", 12}, now, now);
+    declared.replace("op/version/", {{"op/version/m", R"({"model":"m","version":3})", 13}}, 13, now, now);
+    CHECK_EQUAL(3U, declared.newest_version("m"));
+    CHECK_EQUAL(10U, declared.revision());
+    CHECK_EQUAL(13U, declared.weights_revision());
+    CHECK_EQUAL(0U, declared.min_version("m", now)); // the keys were read before, among all of them
+    declared.apply({"op/config", configuration(4, {}), 11}, now);
+    CHECK_EQUAL(11U, declared.revision());
+}
+
 // An agent watches only the weights declarations and reads the configuration once. Guards against a range of
 // the operators' keys that is taken for all of them.
 TEST(declared_state, replacing_one_key_range_leaves_the_others_unchanged)
