Count from the last complete knowledge where a peer's declaration skips one

What callers would see: a process that missed two declarations gets the second one from a peer, with its age. The first one's age is unknown to it, so that it allows the version before both for longer than the first declaration's bound.

Why this works: a skipped version may have been declared at any time since this process knew all declarations, which its watches tell.

--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -159,13 +159,21 @@
     if (needs_all) declared_state_.agree(snapshot->revision);
 }
 
+// The peer tells the age of the newest declaration of each model only. A version before it that this process
+// lacks, too, may have been declared at any time since this process knew all declarations, and ends the grace
+// period of the versions before it.
 auto operator_sync::take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at)
     -> void
 {
+    auto skipping = std::vector<store_item>{};
+    for (auto const& item : snapshot.items)
+        if (declared_state_.skips_versions(item)) skipping.push_back(item);
     declared_state_.replace(prefix, snapshot.items, snapshot.revision, clock::now());
     for (auto const& item : snapshot.items)
         if (auto const age = snapshot.ages.find(item.key); age != snapshot.ages.end())
             declared_state_.correct_declaration(item.key, item.revision, requested_at - age->second);
+    for (auto const& item : skipping)
+        declared_state_.correct_declaration(item.key, item.revision, declarations_known_until_());
 }
 
 } // namespace hibiscuswall
--- a/tests/integration/late_declaration_test.cpp
+++ b/tests/integration/late_declaration_test.cpp
@@ -134,3 +134,29 @@
     sleep_until(told_at + excluded_after - age);
     CHECK_EQUAL(503, ask("/read/a").status);
 }
+
+// Two versions are declared while the store tells this entry nothing, and an agent knows the second one.
+// Guards against an entry that counts the grace period of the version before both from the second
+// declaration.
+TEST(late_declaration, an_entry_that_missed_two_declarations_counts_from_when_it_knew_all)
+{
+    constexpr auto revision = std::uint64_t{1'000'000};
+    auto endpoint =
+        scripted_endpoint{[](auto const& request) { return scripted_response{signed_ok(request, "a")}; }};
+    auto agent = scripted_endpoint{[&](auto const& /*request*/) { return declaration(3, revision, {}); }};
+    entry_settings["version_time_ms"] = version_time.count();
+    configure_engine();
+    put_engine(endpoint);
+    start_entry_behind_proxy();
+    CHECK_EQUAL(200, ask("/read/a").status);
+    CHECK_EQUAL(200, call(proxy_control, {"POST", "/v1/faults", {}, json{{"stall", true}}.dump()}).status);
+    auto const stalled_at = clock::now();
+    sleep_until(stalled_at + milliseconds{2'500});
+
+    auto report = load_report{};
+    report.where = agent.where();
+    report.weights_revision = revision;
+    send_datagram(agent.where(), encode_for_subscriber(encode(report), 0, 0));
+    sleep_until(stalled_at + excluded_after + milliseconds{300});
+    CHECK_EQUAL(503, ask("/read/a").status);
+}
