Bound what peers suppose of a declaration, and keep its age until it arrives

- Documents for peers tell the supposed time of a declaration (a process that has just started: 8 s), and an entry without the store took that over: it refused callers needlessly.
What a process lacked when it last knew all declarations was declared later than that, whatever a peer supposes.
- A peer's declaration that skips one made the newest one as old as the skipped one may be.
The skipped version is a declaration of its own now.
- Of two watches that bring one declaration, the first one dated it.
The one that confirmed last that there was none counts, up to the first receipt.
- The age in the first datagram was dropped when the declaration itself was not known yet.
- A fetch of a declaration waited for a fetch of the configuration in the same loop.
They are two loops.
- A reserved replacement was taken although a declaration had come alone since.

Tests: declared_state.an_age_that_a_peer_told_counts_for_a_declaration_received_ later, .the_watch_that_confirmed_last_that_there_was_no_declaration_counts, .a_skipped_version_excludes_only_the_versions_before_it, new with the interface; late_declaration.an_entry_takes_over_from_a_load_report_since_when_a_ declaration_is_known. The test of the large configuration checks as well that the declaration arrives before the configuration. slow_store reads what the endpoint's thread writes under its lock, and waits long enough that a slow first range does not matter.

--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -79,13 +79,15 @@
     // Takes over from a peer that a weights declaration was made at this time, if that is earlier than known.
     auto correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at) -> void;
 
-    // Whether the item declares weights of which this process lacks an earlier declaration as well.
-    [[nodiscard]] auto skips_versions(store_item const& item) const -> bool;
+    // Records that a version before the one that the item declares, which this process lacks as well, may
+    // have been declared at this time. Changes nothing unless the item skips a version.
+    auto note_skipped_versions(store_item const& item, time_point now, time_point declared_at) -> void;
 
     // The newest declaration of weights that this process knows, of any model.
     [[nodiscard]] auto newest_weights(time_point now) const -> known_declaration;
 
-    // Takes over since when a peer has known a declaration that this process knows, too.
+    // Takes over since when a peer has known a declaration; kept for one that this process has yet to
+    // receive.
     auto on_peer_knows(known_declaration const& peer, time_point now) -> void;
 
     // Records that this state is complete up to the revision, after a peer sent its complete state.
@@ -124,6 +126,7 @@
                   time_point since) -> bool;
     auto delete_item(std::string_view key, std::uint64_t revision) -> bool;
     [[nodiscard]] auto has_read(std::string_view prefix) const -> bool;
+    auto confirm_undeclared(std::uint64_t revision, time_point until) -> void;
     static auto set_declared_at(std::string_view model, declared_weights& declaration, time_point declared_at)
         -> void;
     auto apply_configuration(std::string const& value, std::uint64_t revision) -> void;
@@ -139,6 +142,8 @@
     std::set<std::string, std::less<>> read_prefixes_;          // prefixes with complete content
     std::uint64_t revision_ = 0;
     std::uint64_t weights_revision_ = 0;
+    std::uint64_t announced_revision_ = 0; // newest declaration that peers know and this process does not
+    time_point announced_since_;           // since when the first of them is known to have known it
     time_point changed_at_;
     std::function<void()> on_change_;
 };
--- a/include/hibiscuswall/fleet/operator_sync.hpp
+++ b/include/hibiscuswall/fleet/operator_sync.hpp
@@ -56,12 +56,12 @@
     // configuration is known. Runs until the io_context stops.
     auto run() -> asio::awaitable<void>;
 
-private:
-    // When this process was first seen to be behind a peer; none while it is not.
-    using behind_time = std::optional<time_point>;
+    // The same for the weights declarations alone, from newer_weights_peer; beside run(), whose fetches may
+    // be large.
+    auto run_weights() -> asio::awaitable<void>;
 
-    auto fetch_if_behind(peer_function const& newer_peer, operator_scope scope, behind_time& behind_since)
-        -> asio::awaitable<void>;
+private:
+    auto follow(peer_function const& newer_peer, operator_scope scope) -> asio::awaitable<void>;
     auto fetch(address peer, operator_scope scope) -> asio::awaitable<void>;
     auto take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at) -> void;
     auto services() -> operator_snapshot;
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -97,7 +97,7 @@
     bool closed_as_stalled = false;         // connection closed because the endpoint stalled
     bool seeks_replacement = false;         // stalled; stays at its endpoint until another can take it
     endpoint_ptr replacement; // slot reserved for the next send, its retry spent from the budget; or null
-    std::uint64_t replacement_revision = 0; // newest operator change at the time of the reservation
+    time_point replacement_state_at; // when an operator change was last applied before the reservation
     // Connection closed to move the stream from an engine that changes its weights; at most once per call.
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -367,6 +367,7 @@
         start("quarantine_store", [this] { return quarantine_storage.run(); });
         start("stall_checks", [this] { return run_stall_checks(); });
         start("operator_sync", [this] { return exchange.run(); });
+        start("weights_sync", [this] { return exchange.run_weights(); });
         start("relay", [this] { return relay.run_maintenance(); });
         return success();
     }
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -77,6 +77,7 @@
                               time_point now, time_point since) -> bool
 {
     auto const known = items_.find(key);
+    if (known != items_.end() && known->second.revision == revision) confirm_undeclared(revision, since);
     if (known != items_.end() && known->second.revision >= revision) return false;
     auto const deleted = deleted_.find(key);
     if (deleted != deleted_.end() && deleted->second >= revision) return false;
@@ -137,8 +138,11 @@
     }
     auto& list = versions_[model];
     if (!list.empty() && list.back().version >= version.value()) return;
-    list.push_back({version.value(), since, now, revision});
-    if (list.size() > max_declarations) list.erase(list.begin());
+    auto const known_since = revision == announced_revision_ ? std::min(now, announced_since_) : now;
+    since = std::min(since, known_since);
+    list.push_back({version.value(), since, known_since, revision});
+    while (list.size() > max_declarations)
+        list.erase(list.begin());
     log_event(log_level::info, "weights_declared",
               {{"model", model},
                {"version", std::to_string(version.value())},
@@ -167,12 +171,24 @@
                {"by_ms", ms_text(by)}});
 }
 
-auto declared_state::skips_versions(store_item const& item) const -> bool
+// Another watch of this process brings the same declaration, and may have confirmed more lately that there
+// was none.
+auto declared_state::confirm_undeclared(std::uint64_t revision, time_point until) -> void
+{
+    for (auto& [model, list] : versions_)
+        for (auto& each : list)
+            if (each.revision == revision)
+                each.declared_at = std::max(each.declared_at, std::min(until, each.known_since));
+}
+
+auto declared_state::note_skipped_versions(store_item const& item, time_point now, time_point declared_at)
+    -> void
 {
     auto const model = platform::declared_model(item.key);
-    if (!model) return false;
+    if (!model) return;
     auto const version = platform::decode_weights_version(item.value);
-    return version && version.value() > newest_version(*model) + 1;
+    if (!version || version.value() <= newest_version(*model) + 1) return;
+    versions_[*model].push_back({version.value() - 1, declared_at, now, 0});
 }
 
 auto declared_state::newest_weights(time_point now) const -> known_declaration
@@ -186,6 +202,12 @@
 
 auto declared_state::on_peer_knows(known_declaration const& peer, time_point now) -> void
 {
+    if (peer.revision == 0) return;
+    if (peer.revision > weights_revision_ && peer.revision >= announced_revision_) {
+        auto const is_new = peer.revision > announced_revision_;
+        announced_since_ = is_new ? now - peer.age : std::min(announced_since_, now - peer.age);
+        announced_revision_ = peer.revision;
+    }
     for (auto& [model, list] : versions_)
         for (auto& each : list) {
             if (each.revision != peer.revision) continue;
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -95,32 +95,30 @@
     return services_snapshot_;
 }
 
-auto operator_sync::run() -> asio::awaitable<void>
+auto operator_sync::run() -> asio::awaitable<void> { return follow(newer_peer_, scope_); }
+
+auto operator_sync::run_weights() -> asio::awaitable<void>
 {
-    auto behind_since = behind_time{};
-    auto weights_behind_since = behind_time{};
-    while (true) {
-        co_await sleep_for(poll_interval);
-        if (newer_weights_peer_)
-            co_await fetch_if_behind(newer_weights_peer_, operator_scope::weights, weights_behind_since);
-        co_await fetch_if_behind(newer_peer_, scope_, behind_since);
-    }
+    return follow(newer_weights_peer_, operator_scope::weights);
 }
 
-auto operator_sync::fetch_if_behind(peer_function const& newer_peer, operator_scope scope,
-                                    behind_time& behind_since) -> asio::awaitable<void>
+auto operator_sync::follow(peer_function const& newer_peer, operator_scope scope) -> asio::awaitable<void>
 {
-    auto const peer = newer_peer();
-    auto const now = clock::now();
-    if (!peer) {
+    auto behind_since = std::optional<time_point>{};
+    while (true) {
+        co_await sleep_for(poll_interval);
+        auto const peer = newer_peer();
+        auto const now = clock::now();
+        if (!peer) {
+            behind_since.reset();
+            continue;
+        }
+        if (!behind_since) behind_since = now;
+        // Without a configuration, fetches from the peer at once instead of waiting for the store.
+        if (declared_state_.map() != nullptr && now - *behind_since < store_catch_up_delay) continue;
+        co_await fetch(*peer, scope);
         behind_since.reset();
-        co_return;
     }
-    if (!behind_since) behind_since = now;
-    // Without a configuration, fetches from the peer at once instead of waiting for the store.
-    if (declared_state_.map() != nullptr && now - *behind_since < store_catch_up_delay) co_return;
-    co_await fetch(*peer, scope);
-    behind_since.reset();
 }
 
 auto operator_sync::fetch(address peer, operator_scope scope) -> asio::awaitable<void>
@@ -159,21 +157,21 @@
     if (needs_all) declared_state_.agree(snapshot->revision);
 }
 
-// The peer tells the age of the newest declaration of each model only. A version before it that this process
-// lacks, too, may have been declared at any time since this process knew all declarations, and ends the grace
-// period of the versions before it.
+// What this process lacked when it last knew all declarations was declared later, whatever a peer supposes.
+// The peer tells the age of the newest declaration of each model only: one before it, which this process
+// lacks as well, may be as old as that.
 auto operator_sync::take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at)
     -> void
 {
-    auto skipping = std::vector<store_item>{};
+    auto const now = clock::now();
+    auto const earliest = declarations_known_until_();
     for (auto const& item : snapshot.items)
-        if (declared_state_.skips_versions(item)) skipping.push_back(item);
-    declared_state_.replace(prefix, snapshot.items, snapshot.revision, clock::now());
+        declared_state_.note_skipped_versions(item, now, earliest);
+    declared_state_.replace(prefix, snapshot.items, snapshot.revision, now);
     for (auto const& item : snapshot.items)
         if (auto const age = snapshot.ages.find(item.key); age != snapshot.ages.end())
-            declared_state_.correct_declaration(item.key, item.revision, requested_at - age->second);
-    for (auto const& item : skipping)
-        declared_state_.correct_declaration(item.key, item.revision, declarations_known_until_());
+            declared_state_.correct_declaration(item.key, item.revision,
+                                                std::max(earliest, requested_at - age->second));
 }
 
 } // namespace hibiscuswall
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -63,7 +63,7 @@
     call.closed_as_stalled = call.seeks_replacement;
     stop_seeking_replacement(call);
     call.replacement = found->endpoint;
-    call.replacement_revision = declared_state_.revision();
+    call.replacement_state_at = declared_state_.changed_at();
     endpoint_table::record_send(*call.replacement, now);
     call.connection->close();
     return true;
@@ -75,7 +75,7 @@
 {
     if (call.replacement == nullptr) return false;
     auto const replacement = std::exchange(call.replacement, nullptr);
-    if (call.replacement_revision == declared_state_.revision()) {
+    if (call.replacement_state_at == declared_state_.changed_at()) {
         assign_endpoint(call, replacement);
         return true;
     }
--- a/tests/integration/late_declaration_test.cpp
+++ b/tests/integration/late_declaration_test.cpp
@@ -102,11 +102,38 @@
     declare(2);
     auto const declared_at = clock::now();
     sleep_until(declared_at + milliseconds{1'000});
+    CHECK(entry.log_text().find("event=weights_declared ") != std::string::npos); // before the configuration
+    CHECK(entry.log_text().find("event=configuration_applied version=2") == std::string::npos);
     CHECK_EQUAL(200, ask("/read/a").status); // still within the grace period
     sleep_until(declared_at + excluded_after);
     CHECK_EQUAL(503, ask("/read/a").status);
 }
 
+// Guards against an entry that trusts its own, late receipt of a declaration although an agent has known it
+// for longer.
+TEST(late_declaration, an_entry_takes_over_from_a_load_report_since_when_a_declaration_is_known)
+{
+    auto endpoint =
+        scripted_endpoint{[](auto const& request) { return scripted_response{signed_ok(request, "a")}; }};
+    entry_settings["version_time_ms"] = version_time.count();
+    configure_engine();
+    put_engine(endpoint);
+    start_entry();
+    await_ready();
+    declare(2);
+    CHECK(await_condition(
+        seconds{1}, [&] { return entry.log_text().find("event=weights_declared ") != std::string::npos; }));
+    CHECK_EQUAL(200, ask("/read/a").status);
+
+    auto const stored = json::parse(call(store, {"GET", "/kv-key?key=op/version/m"}).body);
+    auto report = load_report{};
+    report.where = {"127.0.0.1", 9};
+    report.weights_revision = stored["revision"].get<std::uint64_t>();
+    report.weights_age = excluded_after;
+    send_datagram(port_pool::next(), encode_for_subscriber(encode(report), 0, 0));
+    CHECK(await_condition(milliseconds{800}, [&] { return ask("/read/a").status == 503; }));
+}
+
 // The store tells this entry nothing any more. Guards against an entry that learns of a declaration only from
 // the store or from other entries, although the agents of the engines that it sends to know it.
 TEST(late_declaration, an_entry_without_the_store_gets_a_declaration_and_its_age_from_an_agent)
--- a/tests/unit/prefix_watcher_test.cpp
+++ b/tests/unit/prefix_watcher_test.cpp
@@ -239,6 +239,13 @@
         return response;
     }
 
+    // When the response of this number began, from 0.
+    auto begin_of(std::size_t number)->time_point
+    {
+        auto const guard = std::lock_guard{lock};
+        return begun.at(number);
+    }
+
     auto run_until_received(std::string const& key)->bool
     {
         auto settings = prefix_watcher_settings{};
@@ -261,10 +268,10 @@
 TEST(slow_store, a_change_is_as_old_as_the_begin_of_its_response)
 {
     responses = {watched(change("large", 2) + "," + change("k", 3), 3)};
-    delays = {milliseconds{400}};
+    delays = {milliseconds{1'500}};
     CHECK(run_until_received("p/k"));
-    CHECK(changed_since["p/k"] <= begun[0] + milliseconds{300});
-    CHECK(changed_since["p/k"] >= begun[0] - milliseconds{100});
+    CHECK(changed_since["p/k"] <= begin_of(0) + milliseconds{300});
+    CHECK(changed_since["p/k"] >= begin_of(0) - milliseconds{100});
 }
 
 // Guards against a change that counts as made when the next response begins, although it was made while the
@@ -272,7 +279,7 @@
 TEST(slow_store, a_change_made_during_a_response_may_be_as_old_as_the_begin_of_that_response)
 {
     responses = {watched(change("large", 2), 2), watched(change("k", 3), 3)};
-    delays = {milliseconds{400}, milliseconds{30}};
+    delays = {milliseconds{1'500}, milliseconds{30}};
     CHECK(run_until_received("p/k"));
-    CHECK(changed_since["p/k"] <= begun[0] + milliseconds{300});
+    CHECK(changed_since["p/k"] <= begin_of(0) + milliseconds{300});
 }
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -308,6 +308,44 @@
     CHECK_EQUAL(3'000, declared.newest_weights(now).age.count());
 }
 
+// The datagram comes before the declaration itself. Guards against an age that is forgotten meanwhile.
+TEST(declared_state, an_age_that_a_peer_told_counts_for_a_declaration_received_later)
+{
+    declared.replace("op/", {}, 1, now);
+    declared.on_peer_knows({9, milliseconds{3'000}}, now);
+    declared.apply({"op/version/m", R"({"model":"m","version":2})", 9}, now + milliseconds{500});
+    CHECK_EQUAL(0U, declared.min_version("m", now + milliseconds{4'000}));
+    CHECK_EQUAL(2U, declared.min_version("m", now + milliseconds{4'100}));
+}
+
+// Two watches bring one declaration, the first of them after failed calls. Guards against an old version that
+// is excluded early although this process knows that its successor was not declared before.
+TEST(declared_state, the_watch_that_confirmed_last_that_there_was_no_declaration_counts)
+{
+    declared.replace("op/", {}, 1, now);
+    declared.apply({"op/version/m", R"({"model":"m","version":2})", 9}, now, now - milliseconds{4'000});
+    CHECK_EQUAL(2U, declared.min_version("m", now + milliseconds{3'100}));
+    declared.apply_alone({"op/version/m", R"({"model":"m","version":2})", 9}, now, now);
+    CHECK_EQUAL(0U, declared.min_version("m", now + milliseconds{7'000}));
+    CHECK_EQUAL(2U, declared.min_version("m", now + milliseconds{7'100}));
+    declared.apply({"op/version/m", R"({"model":"m","version":2})", 9}, now,
+                   now + seconds{2}); // a late response
+    CHECK_EQUAL(2U, declared.min_version("m", now + milliseconds{7'100}));
+}
+
+// Guards against a newest version that is taken for as old as one before it, of which this process knows only
+// that it exists: the version between them would be excluded too early.
+TEST(declared_state, a_skipped_version_excludes_only_the_versions_before_it)
+{
+    auto const item = store_item{"op/version/m", R"({"model":"m","version":3})", 9};
+    declared.replace("op/", {}, 1, now);
+    declared.note_skipped_versions(item, now, now - milliseconds{7'100});
+    declared.replace("op/", {item}, 9, now);
+    CHECK_EQUAL(2U, declared.min_version("m", now));
+    CHECK_EQUAL(2U, declared.min_version("m", now + milliseconds{7'000}));
+    CHECK_EQUAL(3U, declared.min_version("m", now + milliseconds{7'100}));
+}
+
 // Guards against one process that has just started, and takes what it found for old, making all others
 // exclude the old version at once.
 TEST(declared_state, peers_are_told_the_time_of_the_receipt_not_a_supposed_one)
