--- a/include/hibiscuswall/fleet/declaration_watch.hpp
+++ b/include/hibiscuswall/fleet/declaration_watch.hpp
@@ -16,6 +16,7 @@
     // all_keys: this process's watch of all operators' keys, which tells of declarations as well; null: none.
     declaration_watch(key_value_client& store, random_source& random, declared_state& declared,
                       pause_detector const& pauses, prefix_watcher const* all_keys = nullptr);
+    ~declaration_watch() = default;
     declaration_watch(declaration_watch const&) = delete;
     auto operator=(declaration_watch const&) -> declaration_watch& = delete;
 
