Do not let a known declaration become younger when it comes again

Cause: let a second watch date a declaration that was known already, up to its receipt. A declaration that comes again from a peer, or from a range that is read again, has the present time or a bound that no longer holds for it, so that the earliest time at which it may have been declared was lost. Found by reading the whole change before the landing.

Why this works: only the first receipt dates a declaration; later ones can move it back, not forward.

--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -126,7 +126,6 @@
                   time_point since) -> bool;
     auto delete_item(std::string_view key, std::uint64_t revision) -> bool;
     [[nodiscard]] auto has_read(std::string_view prefix) const -> bool;
-    auto confirm_undeclared(std::uint64_t revision, time_point until) -> void;
     static auto set_declared_at(std::string_view model, declared_weights& declaration, time_point declared_at)
         -> void;
     auto apply_configuration(std::string const& value, std::uint64_t revision) -> void;
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -77,7 +77,6 @@
                               time_point now, time_point since) -> bool
 {
     auto const known = items_.find(key);
-    if (known != items_.end() && known->second.revision == revision) confirm_undeclared(revision, since);
     if (known != items_.end() && known->second.revision >= revision) return false;
     auto const deleted = deleted_.find(key);
     if (deleted != deleted_.end() && deleted->second >= revision) return false;
@@ -171,16 +170,6 @@
                {"by_ms", ms_text(by)}});
 }
 
-// Another watch of this process brings the same declaration, and may have confirmed more lately that there
-// was none.
-auto declared_state::confirm_undeclared(std::uint64_t revision, time_point until) -> void
-{
-    for (auto& [model, list] : versions_)
-        for (auto& each : list)
-            if (each.revision == revision)
-                each.declared_at = std::max(each.declared_at, std::min(until, each.known_since));
-}
-
 auto declared_state::note_skipped_versions(store_item const& item, time_point now, time_point declared_at)
     -> void
 {
