--- a/src/api/ctl_session.cpp
+++ b/src/api/ctl_session.cpp
@@ -9,9 +9,6 @@
 #include <random>
 #include <thread>
 
-// GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace hibiscuswall {
 namespace {
 
--- a/src/api/resource_api.cpp
+++ b/src/api/resource_api.cpp
@@ -2,9 +2,6 @@
 
 #include "hibiscuswall/http/error_body.hpp"
 
-// GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace hibiscuswall {
 namespace {
 
--- a/src/calls/call_claim.cpp
+++ b/src/calls/call_claim.cpp
@@ -1,6 +1,4 @@
 // Claims of calls with an idempotency key, and lost responses of non-idempotent calls.
-// GCC 12 inlines operator new of a coroutine frame but not its operator delete, and then warns of a mismatch.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 #include "call_run.hpp"
 
--- a/src/calls/call_handler.cpp
+++ b/src/calls/call_handler.cpp
@@ -1,6 +1,3 @@
-// GCC 12 inlines operator new of a coroutine frame but not its operator delete, and then warns of a mismatch.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 #include "hibiscuswall/calls/call_handler.hpp"
 
 #include "call_run.hpp"
--- a/src/calls/call_send.cpp
+++ b/src/calls/call_send.cpp
@@ -1,6 +1,4 @@
 // Sends an attempt to its agent and relays the response.
-// GCC 12 inlines operator new of a coroutine frame but not its operator delete, and then warns of a mismatch.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 #include "call_run.hpp"
 
--- a/src/config/config_peers.cpp
+++ b/src/config/config_peers.cpp
@@ -1,4 +1,5 @@
 // The part of config_service that communicates with peers: pushes along the push tree, and fetches.
+
 #include "hibiscuswall/config/config_service.hpp"
 #include "hibiscuswall/config/push_tree.hpp"
 #include "hibiscuswall/observe/log.hpp"
@@ -9,9 +10,6 @@
 #include <algorithm>
 #include <set>
 
-// GCC 12 takes the coroutine frame's own operator new and delete for mismatched once one of them is inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace hibiscuswall {
 namespace {
 
--- a/src/membership/gossip_service.cpp
+++ b/src/membership/gossip_service.cpp
@@ -11,9 +11,6 @@
 
 #include <algorithm>
 
-// GCC 12 reports the coroutine frame's own operator new and delete as mismatched once one of them is inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace hibiscuswall {
 namespace {
 
--- a/src/weights/activation.cpp
+++ b/src/weights/activation.cpp
@@ -1,7 +1,3 @@
-// GCC 12 reports a false mismatch between allocation and release of Asio coroutine frames once both are
-// inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 #include "hibiscuswall/weights/activation.hpp"
 
 #include "hibiscuswall/core/sleep.hpp"
--- a/src/weights/weights_service.cpp
+++ b/src/weights/weights_service.cpp
@@ -1,7 +1,3 @@
-// GCC 12 reports a false mismatch between allocation and release of Asio coroutine frames once both are
-// inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 #include "hibiscuswall/weights/weights_service.hpp"
 
 #include "hibiscuswall/core/rendezvous.hpp"
