Keep times that no integer holds from becoming times in the past

What callers would see: where the divider grants a sender next to nothing (any rate below 1.1e-10 calls a second), the sender tells callers on x86-64 that a call was available long ago, and the wait derived from it is out of range; on arm64 it is the longest wait. A schedule of returning callers sends the second one back after 300 ms in place of 10 s on arm64 too, since the sum with the largest integer overflows. Cause: 1 / rate as a duration in nanoseconds is beyond an integer; the conversion is undefined and gives the largest integer on one kind of machine, the smallest on the other. Evidence: the new test on the code before fails on arm64 with 300 where 10000 is expected; the same sources built for x86-64 and run by an emulator fail already at next_available_at; with -fsanitize=float-cast-overflow it ends at "1e+21 is outside the range". Now: bounded_duration() in core/time.hpp compares before it converts, as the reading of Retry-After did. The other conversions to durations were read: link_budget, concurrency_limit, call_rate, host_list_schedule, wait_queue and switch_schedule have bounded operands.

--- a/include/hibiscuswall/core/time.hpp
+++ b/include/hibiscuswall/core/time.hpp
@@ -5,6 +5,7 @@
 //
 // Only daemons and transports read the clock (clock::now()).
 
+#include <algorithm>
 #include <chrono>
 
 namespace hibiscuswall {
@@ -26,6 +27,16 @@
 using microseconds = std::chrono::microseconds;
 using seconds = std::chrono::seconds;
 
+// That many seconds, from none to the longest; what is not a number counts as the longest.
+// A double beyond the range of an integer must not be converted: some machines give the largest integer,
+// others the smallest, so that a long time becomes a time in the past.
+[[nodiscard]] inline auto bounded_duration(double span_seconds, clock::duration longest) -> clock::duration
+{
+    auto const span = std::chrono::duration<double>{span_seconds};
+    if (!(span < longest)) return longest;
+    return std::max(std::chrono::duration_cast<clock::duration>(span), clock::duration::zero());
+}
+
 // Wall clock in milliseconds since 1970; only for display and for records read by other processes.
 [[nodiscard]] inline auto wall_clock_ms() -> long long
 {
--- a/include/hibiscuswall/serving/retry_schedule.hpp
+++ b/include/hibiscuswall/serving/retry_schedule.hpp
@@ -17,9 +17,7 @@
     {
         next_ = std::clamp(next_, now + min_wait, now + std::max(min_wait, max_wait));
         auto const wait = std::chrono::ceil<milliseconds>(next_ - now);
-        if (calls_per_second > 0)
-            next_ += std::chrono::duration_cast<clock::duration>(
-                std::chrono::duration<double>(1 / calls_per_second));
+        if (calls_per_second > 0) next_ += bounded_duration(1 / calls_per_second, max_wait);
         return wait;
     }
 
--- a/src/serving/rate_share.cpp
+++ b/src/serving/rate_share.cpp
@@ -117,8 +117,7 @@
     if (available(now) > 0) return now;
     auto const rate = calls_per_second(now);
     if (rate <= 0) return now + (makes_own_grants(now) || has_grant(now) ? max_wait : soon);
-    auto const wait = std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(1.0 / rate));
-    return now + std::min<clock::duration>(wait, max_wait);
+    return now + bounded_duration(1.0 / rate, max_wait);
 }
 
 auto rate_share::record_demand(time_point now) -> void
--- a/tests/unit/portability_test.cpp
+++ b/tests/unit/portability_test.cpp
@@ -1,13 +1,18 @@
 // What must be the same on every kind of machine that the programs are built for.
+#include "hibiscuswall/core/time.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
 
+using namespace hibiscuswall;
+
 namespace {
 
 constexpr auto wide_alignment = std::size_t{256}; // bytes, wider than that of operator new
@@ -37,6 +42,20 @@
 
 TEST_GROUP(portability){};
 
+// Guards against a double beyond the range of an integer, which becomes the largest integer on one kind of
+// machine and the smallest on another.
+TEST(portability, a_number_of_seconds_of_any_size_becomes_a_duration_within_its_bounds)
+{
+    auto const longest = seconds{60};
+    CHECK(bounded_duration(1.5, longest) == milliseconds{1'500});
+    CHECK(bounded_duration(60.0, longest) == longest);
+    for (auto const huge : {61.0, 1e12, 1e300, std::numeric_limits<double>::infinity()}) {
+        CHECK(bounded_duration(huge, longest) == longest);
+        CHECK(bounded_duration(-huge, longest) == clock::duration::zero());
+    }
+    CHECK(bounded_duration(std::numeric_limits<double>::quiet_NaN(), longest) == longest);
+}
+
 // Guards against a build whose memory for Asio's handlers no longer heeds alignment: Asio then takes it from
 // operator new, while the compiler relies on the alignment of the type.
 TEST(portability, a_handler_keeps_an_alignment_wider_than_that_of_operator_new)
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -241,6 +241,24 @@
         CHECK(schedule.next(2.0, milliseconds{300}, now) <= milliseconds{10'000});
 }
 
+// Guards against a time that no integer holds: on one kind of machine it becomes one in the past, so that
+// callers are sent back at once to endpoints that take next to nothing.
+TEST(rate_limit_rejections, callers_wait_longest_for_a_sender_that_is_granted_next_to_nothing)
+{
+    auto const now = time_point{seconds{1'000}};
+    for (auto const rate : {1e-9, 1e-12, 1e-300}) {
+        auto share = rate_share{};
+        share.set_limit(2.0, 6, 0.0, now);
+        share.on_grant({1, 0, 0, rate}, now, now, now);
+        CHECK(share.next_available_at(now) == now + seconds{10});
+        DOUBLES_EQUAL(rate, share.calls_per_second(now), 0);
+
+        auto schedule = retry_schedule{};
+        CHECK_EQUAL(300, schedule.next(rate, milliseconds{300}, now).count());
+        CHECK_EQUAL(10'000, schedule.next(rate, milliseconds{300}, now).count());
+    }
+}
+
 // ---- the layout with gates
 
 TEST_GROUP(rate_limit_admission)
