Reject numbers that their field cannot hold, whoever wrote them, alike on both kinds

What callers would see: one odd number in a document of the operators, a datagram or a peer's answer (1e300, 0.5 or "not a number" where a whole number belongs, an age of -9e18 ms) was cut to fit. A double beyond the range becomes the largest integer on arm64 and the smallest on x86-64, so that entries of two kinds believe different things of the same configuration: an engine whose start takes 292 years, or one that is warm at once. Cause: json::get<integer>() casts; only records of endpoints and engine reports were read by the checked functions, since these stood in platform/. The fraction of rejected callers may be "not a number" in CBOR, and was averaged on and told to all entries.

--- a/src/calls/call_claim.cpp
+++ b/src/calls/call_claim.cpp
@@ -2,6 +2,7 @@
 
 #include "call_run.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
@@ -20,9 +21,10 @@
 {
     if (!object.is_object()) return std::nullopt;
     try {
-        return claim_response{object.value("status", 200), object.value("content_type", std::string{}),
+        return claim_response{integer_field(object, "status", 100, 599, 200),
+                              object.value("content_type", std::string{}),
                               object.value("body", std::string{})};
-    } catch (nlohmann::json::exception const&) {
+    } catch (std::exception const&) {
         return std::nullopt;
     }
 }
--- a/src/calls/claim_bucket.cpp
+++ b/src/calls/claim_bucket.cpp
@@ -1,5 +1,7 @@
 #include "hibiscuswall/calls/claim_bucket.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -34,8 +36,8 @@
     value.call_id = object.at("call_id").get<std::string>();
     value.host = object.at("host").get<std::string>();
     value.where = object.value("where", "");
-    value.incarnation = object.at("incarnation").get<std::uint64_t>();
-    value.claimed_at_ms = object.at("at_ms").get<long long>();
+    value.incarnation = integer_field<std::uint64_t>(object, "incarnation");
+    value.claimed_at_ms = integer_field<long long>(object, "at_ms");
     value.request_digest = object.at("request").get<std::string>();
     auto const name = object.at("state").get<std::string>();
     auto const* found = std::find(std::begin(state_names), std::end(state_names), name);
@@ -45,7 +47,7 @@
     if (object.contains("answer")) {
         auto const& stored = object.at("answer");
         value.response =
-            claim_response{stored.at("status").get<int>(), stored.at("content_type").get<std::string>(),
+            claim_response{integer_field<int>(stored, "status"), stored.at("content_type").get<std::string>(),
                            stored.at("body").get<std::string>()};
     }
     return value;
@@ -62,7 +64,7 @@
         if (!document.is_object()) return std::nullopt;
         for (auto const& [key, object] : document.items())
             bucket.claims_.emplace(key, from_json(object));
-    } catch (json::exception const&) {
+    } catch (std::exception const&) {
         return std::nullopt;
     }
     return bucket;
--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/config/config_document.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
 #include "hibiscuswall/core/sha256.hpp"
 
 #include <algorithm>
@@ -25,7 +26,8 @@
 {
     auto recent = std::deque<recent_write>{};
     for (auto const& item : list)
-        recent.push_back({item.at("write_id").get<std::string>(), item.at("revision").get<std::uint64_t>()});
+        recent.push_back(
+            {item.at("write_id").get<std::string>(), integer_field<std::uint64_t>(item, "revision")});
     return recent;
 }
 
@@ -180,7 +182,7 @@
         document.recent = recent_from_json(root.value("recent", nlohmann::json::array()));
         document.resources = root.at("resources").get<std::map<std::string, std::string>>();
         return document;
-    } catch (nlohmann::json::exception const& problem) {
+    } catch (std::exception const& problem) {
         return fail(result_code::response_malformed, std::string{"config/root: "} + problem.what());
     }
 }
@@ -245,15 +247,15 @@
 {
     try {
         auto delta = config_delta{};
-        delta.from_revision = value.at("from_revision").get<std::uint64_t>();
-        delta.revision = value.at("revision").get<std::uint64_t>();
+        delta.from_revision = integer_field<std::uint64_t>(value, "from_revision");
+        delta.revision = integer_field<std::uint64_t>(value, "revision");
         delta.write_id = value.at("write_id").get<std::string>();
         delta.recent = recent_from_json(value.value("recent", nlohmann::json::array()));
         for (auto const& [key, digest] : value.at("changed").items())
             delta.changed[key] = digest.is_null() ? std::nullopt : std::optional{digest.get<std::string>()};
         delta.objects = value.at("objects").get<std::map<std::string, std::string>>();
         return delta;
-    } catch (nlohmann::json::exception const& problem) {
+    } catch (std::exception const& problem) {
         return fail(result_code::response_malformed, problem.what());
     }
 }
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -1,6 +1,7 @@
 #include "hibiscuswall/fleet/operator_sync.hpp"
 
 #include "hibiscuswall/core/base64.hpp"
+#include "hibiscuswall/core/checked_json.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/operator_documents.hpp"
@@ -42,18 +43,19 @@
     try {
         auto const document = json::parse(text);
         auto snapshot = operator_snapshot{};
-        snapshot.revision = document.at("revision").get<std::uint64_t>();
+        snapshot.revision = integer_field<std::uint64_t>(document, "revision");
         for (auto const& item : document.at("items")) {
             auto value = decode_base64(item.at(1).get<std::string>());
             if (!value) return std::nullopt;
             snapshot.items.push_back(
-                {item.at(0).get<std::string>(), std::move(*value), item.at(2).get<std::uint64_t>()});
+                {item.at(0).get<std::string>(), std::move(*value), integer_from<std::uint64_t>(item.at(2))});
         }
         auto const ages = document.value("ages_ms", json::object());
         for (auto const& [key, age] : ages.items())
-            snapshot.ages[key] = std::clamp(milliseconds{age.get<long long>()}, milliseconds{0}, max_age);
+            snapshot.ages[key] =
+                std::clamp(milliseconds{integer_from<long long>(age)}, milliseconds{0}, max_age);
         return snapshot;
-    } catch (json::exception const&) {
+    } catch (std::exception const&) {
         return std::nullopt; // for example: the peer runs another version
     }
 }
--- a/src/fleet/quarantine_document.cpp
+++ b/src/fleet/quarantine_document.cpp
@@ -1,7 +1,7 @@
 #include "hibiscuswall/fleet/quarantine_document.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
 #include "hibiscuswall/core/sha256.hpp"
-#include "platform/checked_json.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -18,9 +18,8 @@
 auto mark_from(json const& value, time_point now) -> crash_mark
 {
     auto mark = crash_mark{};
-    mark.run =
-        platform::integer_field<std::uint64_t>(value, "run", 0, std::numeric_limits<std::uint64_t>::max());
-    mark.generation = platform::integer_field<int>(value, "generation", 1, max_generation);
+    mark.run = integer_field<std::uint64_t>(value, "run", 0, std::numeric_limits<std::uint64_t>::max());
+    mark.generation = integer_field<int>(value, "generation", 1, max_generation);
     mark.cleared = value.at("cleared").get<bool>();
     mark.observed_at = now;
     return mark;
@@ -30,7 +29,7 @@
 {
     auto text = value.at(name).get<std::string>();
     if (text.empty() || text.size() > max_name_bytes)
-        throw platform::bad_field{std::string{name} + " is empty or too long"};
+        throw bad_field{std::string{name} + " is empty or too long"};
     return text;
 }
 
@@ -60,7 +59,7 @@
     -> std::optional<segment_record>
 {
     try {
-        auto const document = platform::parse_bounded(value);
+        auto const document = parse_bounded(value);
         auto record = segment_record{name_field(document, "model"), name_field(document, "segment"), {}};
         auto const& marks = document.at("marks");
         if (!marks.is_array() || marks.empty() || marks.size() > max_marks) return std::nullopt;
@@ -70,7 +69,7 @@
         return record;
     } catch (json::exception const&) {
         return std::nullopt;
-    } catch (platform::bad_field const&) {
+    } catch (bad_field const&) {
         return std::nullopt;
     }
 }
--- a/src/membership/exchange_message.cpp
+++ b/src/membership/exchange_message.cpp
@@ -1,5 +1,7 @@
 #include "hibiscuswall/membership/exchange_message.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
+
 namespace hibiscuswall {
 namespace {
 
@@ -57,9 +59,9 @@
 
 auto state_from(json const& value) -> std::optional<member_state>
 {
-    auto const number = value.get<unsigned>();
-    if (!value.is_number_unsigned() || number > static_cast<unsigned>(member_state::dead))
-        return std::nullopt;
+    if (!value.is_number_unsigned()) return std::nullopt;
+    auto const number = integer_from<std::uint64_t>(value);
+    if (number > static_cast<std::uint64_t>(member_state::dead)) return std::nullopt;
     return static_cast<member_state>(number);
 }
 
@@ -71,14 +73,14 @@
     auto const where = parse_address(value[2].get<std::string>());
     auto const state = state_from(value[7]);
     if (parsed.name.empty() || !where || !state) return std::nullopt;
-    parsed.role = value[1].get<unsigned>() == 0 ? member_role::entry : member_role::agent;
+    parsed.role = integer_from<std::uint64_t>(value[1]) == 0 ? member_role::entry : member_role::agent;
     parsed.control_address = where.value();
     parsed.region = value[3].get<std::string>();
     parsed.failure_domain = value[4].get<std::string>();
     parsed.service = value[5].get<std::string>();
-    parsed.incarnation = value[6].get<std::uint64_t>();
+    parsed.incarnation = integer_from<std::uint64_t>(value[6]);
     parsed.state = *state;
-    parsed.config_revision = value[8].get<std::uint64_t>();
+    parsed.config_revision = integer_from<std::uint64_t>(value[8]);
     return parsed;
 }
 
@@ -87,7 +89,7 @@
     if (!value.is_array() || value.size() != 3) return std::nullopt;
     auto const state = state_from(value[2]);
     if (!state) return std::nullopt;
-    return recipient_view{value[0].get<std::string>(), value[1].get<std::uint64_t>(), *state};
+    return recipient_view{value[0].get<std::string>(), integer_from<std::uint64_t>(value[1]), *state};
 }
 
 auto message_from(json const& value) -> std::optional<exchange_message>
@@ -98,13 +100,13 @@
     message.from = member_from(value[1]);
     if (!value[1].is_null() && !message.from) return std::nullopt;
     message.to = recipient_from(value[2]);
-    message.config_revision = value[3].get<std::uint64_t>();
+    message.config_revision = integer_from<std::uint64_t>(value[3]);
     if (value[4].is_number_unsigned()) {
         auto const age = value[4].get<std::uint64_t>();
         if (age <= static_cast<std::uint64_t>(max_age))
             message.confirmed_age = milliseconds{static_cast<long long>(age)};
     }
-    message.digest = value[5].get<std::uint64_t>();
+    message.digest = integer_from<std::uint64_t>(value[5]);
     for (auto const& item : value[6])
         if (auto report = member_from(item)) message.members.push_back(std::move(*report));
     return message;
@@ -140,7 +142,7 @@
     if (!json::sax_parse(body, &check, json::input_format_t::cbor)) return std::nullopt;
     try {
         return message_from(json::from_cbor(body));
-    } catch (json::exception const&) {
+    } catch (std::exception const&) {
         return std::nullopt;
     }
 }
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -1,5 +1,7 @@
 #include "hibiscuswall/membership/member.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
+
 namespace hibiscuswall {
 namespace {
 
@@ -38,13 +40,14 @@
         parsed.region = value.at("region").get<std::string>();
         parsed.failure_domain = value.at("failure_domain").get<std::string>();
         parsed.service = value.value("service", "");
-        parsed.incarnation = value.at("incarnation").get<std::uint64_t>();
-        parsed.config_revision = value.value("config_revision", std::uint64_t{0});
+        parsed.incarnation = integer_field<std::uint64_t>(value, "incarnation");
+        parsed.config_revision =
+            value.contains("config_revision") ? integer_field<std::uint64_t>(value, "config_revision") : 0;
         auto const state = value.value("state", "alive");
         for (auto i = 0; i < 4; ++i)
             if (state_names[i] == state) parsed.state = static_cast<member_state>(i);
         return parsed;
-    } catch (nlohmann::json::exception const&) {
+    } catch (std::exception const&) {
         return std::nullopt;
     }
 }
--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/platform/engine_client.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
 #include "platform/call_headers.hpp"
 
 #include <nlohmann/json.hpp>
@@ -9,6 +10,7 @@
 
 // The engine responds to a load order only after it has read the weights from the agent.
 constexpr auto load_timeout = milliseconds{120'000};
+constexpr auto max_calls = 1'000'000; // at one engine
 
 auto to_state(std::string const& text) -> engine_state
 {
@@ -26,10 +28,10 @@
     status.adapter = body.value("adapter", "");
     status.version = body.value("version", "");
     status.manifest_digest = body.value("manifest_digest", "");
-    status.fencing = body.value("fencing", std::uint64_t{0});
-    status.running = body.value("running", 0);
-    status.queued = body.value("queued", 0);
-    status.load_age = milliseconds{body.value("load_age_ms", 0LL)};
+    status.fencing = body.contains("fencing") ? integer_field<std::uint64_t>(body, "fencing") : 0;
+    status.running = integer_field(body, "running", 0, max_calls, 0);
+    status.queued = integer_field(body, "queued", 0, max_calls, 0);
+    status.load_age = duration_field(body, "load_age_ms", milliseconds{0});
     return status;
 }
 
@@ -50,8 +52,8 @@
         auto status = to_status(nlohmann::json::parse(response.value().body));
         status.rate = platform::decode_rate(response.value().headers);
         co_return status;
-    } catch (nlohmann::json::exception const& problem) {
-        co_return fail(result_code::response_malformed, std::string{"engine status: "} + problem.what());
+    } catch (std::exception const& problem) {
+        co_return fail(result_code::response_malformed, "engine status: " + short_reason(problem));
     }
 }
 
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -1,5 +1,7 @@
 #include "hibiscuswall/serving/load_datagram.hpp"
 
+#include "hibiscuswall/core/checked_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -26,6 +28,10 @@
 constexpr auto max_marks = std::size_t{16};       // of one segment
 constexpr auto max_generation = 1'000;
 constexpr auto max_age = milliseconds{24 * 3'600 * 1'000};
+constexpr auto max_calls = 1'000'000; // of an endpoint, or of an agent's subscribers
+constexpr auto max_layers = 1'000'000;
+constexpr auto max_slowdown = 1e6;
+constexpr auto max_time_us = std::int64_t{1} << 53U;    // since a machine started, 285 years
 constexpr auto max_array_header_bytes = std::size_t{3}; // of an array with less than 65,536 elements
 
 auto to_bytes(json const& message) -> std::string
@@ -43,26 +49,37 @@
 auto weights_from(json const& value) -> std::optional<loaded_weights>
 {
     if (value.is_null()) return std::nullopt;
-    return loaded_weights{value.at(0).get<std::string>(), value.at(1).get<std::uint64_t>(),
-                          value.at(2).get<int>(), value.at(3).get<int>()};
+    return loaded_weights{value.at(0).get<std::string>(), integer_from<std::uint64_t>(value.at(1)),
+                          integer_from(value.at(2), 0, max_layers), integer_from(value.at(3), 0, max_layers)};
 }
 
 auto age_from(json const& value) -> milliseconds
 {
-    return std::clamp(milliseconds{value.get<std::int64_t>()}, milliseconds{0}, max_age);
+    return std::clamp(milliseconds{integer_from<std::int64_t>(value)}, milliseconds{0}, max_age);
 }
 
+auto revision_from(json const& value) -> std::uint64_t { return integer_from<std::uint64_t>(value); }
+
+auto calls_from(json const& value) -> int { return integer_from(value, 0, max_calls); }
+
+auto time_us_from(json const& value) -> std::int64_t
+{
+    return integer_from(value, -max_time_us, max_time_us);
+}
+
+auto fraction_from(json const& value) -> double { return number_from(value, 0.0, 1.0); }
+
 auto subscription_from(json const& message) -> subscription
 {
     auto decoded = subscription{};
     decoded.entry = message.at(1).get<std::string>();
-    decoded.operator_revision = message.at(2).get<std::uint64_t>();
-    decoded.sent_at_us = message.at(3).get<std::int64_t>();
+    decoded.operator_revision = revision_from(message.at(2));
+    decoded.sent_at_us = time_us_from(message.at(3));
     decoded.region = message.at(4).get<std::string>();
-    decoded.weights_revision = message.at(5).get<std::uint64_t>();
-    decoded.shed_level = message.at(6).get<double>();
+    decoded.weights_revision = revision_from(message.at(5));
+    decoded.shed_level = fraction_from(message.at(6));
     if (message.size() > subscription_records_field)
-        decoded.records_revision = message[subscription_records_field].get<std::uint64_t>();
+        decoded.records_revision = revision_from(message[subscription_records_field]);
     if (message.size() > subscription_weights_age_field)
         decoded.weights_age = age_from(message[subscription_weights_age_field]);
     return decoded;
@@ -77,24 +94,24 @@
     if (!where) return std::nullopt;
     auto report = load_report{};
     report.where = where.value();
-    report.started_at_ms = message.at(1).get<std::uint64_t>();
-    report.running = message.at(2).get<int>();
-    report.queued = message.at(3).get<int>();
-    report.slowdown = message.at(4).get<double>();
+    report.started_at_ms = integer_from<std::uint64_t>(message.at(1));
+    report.running = calls_from(message.at(2));
+    report.queued = calls_from(message.at(3));
+    report.slowdown = number_from(message.at(4), 0.0, max_slowdown);
     report.weights = weights_from(message.at(5));
     report.paused = message.at(6).get<bool>();
-    report.subscriber_count = message.at(7).get<int>();
-    report.operator_revision = message.at(8).get<std::uint64_t>();
-    report.echoed_sent_at_us = outer.at(2).get<std::int64_t>();
-    report.subscription_age_us = outer.at(3).get<std::int64_t>();
+    report.subscriber_count = calls_from(message.at(7));
+    report.operator_revision = revision_from(message.at(8));
+    report.echoed_sent_at_us = time_us_from(outer.at(2));
+    report.subscription_age_us = time_us_from(outer.at(3));
     report.same_region_entries = message.at(9).get<std::vector<std::string>>();
     if (auto const peer = parse_address(message.at(10).get<std::string>()))
         report.most_current_peer = peer.value();
-    report.shed_level = message.at(11).get<double>();
-    if (message.size() > records_field) report.records_revision = message[records_field].get<std::uint64_t>();
+    report.shed_level = fraction_from(message.at(11));
+    if (message.size() > records_field) report.records_revision = revision_from(message[records_field]);
     report.leaving = message.size() > leaving_field && message[leaving_field].get<bool>();
     if (message.size() > weights_field + 1) {
-        report.weights_revision = message[weights_field].get<std::uint64_t>();
+        report.weights_revision = revision_from(message[weights_field]);
         report.weights_age = age_from(message[weights_field + 1]);
     }
     if (message.size() > rate_field) {
@@ -269,12 +286,13 @@
         if (message[0] == subscription_tag) return subscription_from(message);
         if (message[0] == load_report_tag) return load_report_from(message);
         if (message[0] == holdings_tag)
-            return chunk_holdings{message.at(1).get<std::string>(), message.at(2).get<std::uint64_t>(),
+            return chunk_holdings{message.at(1).get<std::string>(),
+                                  integer_from<std::uint64_t>(message.at(2)),
                                   message.at(3).get<std::string>()};
         if (message[0] == quarantine_tag) return quarantine_records_from(message);
         if (message[0] == rate_report_tag) return as_datagram(decode_rate_report(message));
         if (message[0] == rate_notice_tag) return as_datagram(decode_rate_notice(message));
-    } catch (json::exception const&) {
+    } catch (std::exception const&) {
         return std::nullopt; // another protocol version, or not one of our datagrams
     }
     return std::nullopt;
--- a/src/serving/rate_datagram.cpp
+++ b/src/serving/rate_datagram.cpp
@@ -1,8 +1,8 @@
 #include "hibiscuswall/serving/rate_datagram.hpp"
 
-#include <nlohmann/json.hpp>
+#include "hibiscuswall/core/checked_json.hpp"
 
-#include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace hibiscuswall {
 namespace {
@@ -13,6 +13,7 @@
 constexpr auto max_rate = 1e6; // calls per second, of a limit and of a demand
 constexpr auto max_recent_sends = 10'000'000;
 constexpr auto max_age = milliseconds{24 * 3'600 * 1'000};
+constexpr auto max_time_us = std::int64_t{1} << 53U; // since a machine started, 285 years
 
 auto to_bytes(json const& message) -> std::string
 {
@@ -20,7 +21,20 @@
     return {bytes.begin(), bytes.end()};
 }
 
-auto is_rate(double value) -> bool { return std::isfinite(value) && value >= 0 && value <= max_rate; }
+auto rate_from(json const& value) -> double { return number_from(value, 0.0, max_rate); }
+
+auto count_from(json const& value) -> std::int64_t { return integer_from<std::int64_t>(value, 0); }
+
+auto time_us_from(json const& value) -> std::int64_t
+{
+    return integer_from(value, -max_time_us, max_time_us);
+}
+
+// -1: there is none
+auto age_from(json const& value) -> milliseconds
+{
+    return milliseconds{integer_from<std::int64_t>(value, -1, max_age.count())};
+}
 
 auto is_name(std::string const& text) -> bool { return !text.empty() && text.size() <= max_name_bytes; }
 
@@ -28,12 +42,9 @@
 {
     auto const parsed = parse_address(where.get<std::string>());
     if (!parsed) return std::nullopt;
-    return endpoint_run{parsed.value(), started_at_ms.get<std::uint64_t>()};
+    return endpoint_run{parsed.value(), integer_from<std::uint64_t>(started_at_ms)};
 }
 
-// Counts of granted calls: the later ones include the earlier ones.
-auto in_order(std::int64_t first, std::int64_t second) -> bool { return 0 <= first && first <= second; }
-
 } // namespace
 
 auto knowledge_json(aged_rate_knowledge const& known) -> json
@@ -43,12 +54,7 @@
 
 auto knowledge_from(json const& value) -> std::optional<aged_rate_knowledge>
 {
-    auto const known =
-        aged_rate_knowledge{value.at(0).get<double>(), milliseconds{value.at(1).get<std::int64_t>()},
-                            milliseconds{value.at(2).get<std::int64_t>()}};
-    if (!is_rate(known.calls_per_second) || known.named_age > max_age || known.absent_age > max_age)
-        return std::nullopt;
-    return known;
+    return aged_rate_knowledge{rate_from(value.at(0)), age_from(value.at(1)), age_from(value.at(2))};
 }
 
 auto encode(rate_report const& message) -> std::string
@@ -65,18 +71,16 @@
     auto const endpoint = run_from(message.at(1), message.at(2));
     auto const known = knowledge_from(message.at(3));
     if (!endpoint || !known) return std::nullopt;
-    auto decoded = rate_report{*endpoint, *known, {}, message.at(11).get<std::int64_t>()};
+    auto decoded = rate_report{*endpoint, *known, {}, time_us_from(message.at(11))};
     auto& sender = decoded.sender;
     sender.sender = message.at(4).get<std::string>();
-    sender.demand = message.at(5).get<double>();
-    sender.recent_sends = message.at(6).get<int>();
-    sender.divider_run = message.at(7).get<std::uint64_t>();
-    sender.ended = message.at(8).get<std::int64_t>();
-    sender.used = message.at(9).get<std::int64_t>();
-    sender.own_used = message.at(10).get<std::int64_t>();
-    auto const counts_are_valid = in_order(sender.used, sender.ended) && sender.own_used >= 0 &&
-                                  sender.recent_sends >= 0 && sender.recent_sends <= max_recent_sends;
-    if (!is_name(sender.sender) || !is_rate(sender.demand) || !counts_are_valid) return std::nullopt;
+    sender.demand = rate_from(message.at(5));
+    sender.recent_sends = integer_from(message.at(6), 0, max_recent_sends);
+    sender.divider_run = integer_from<std::uint64_t>(message.at(7));
+    sender.ended = count_from(message.at(8));
+    sender.used = count_from(message.at(9));
+    sender.own_used = count_from(message.at(10));
+    if (!is_name(sender.sender) || sender.used > sender.ended) return std::nullopt;
     return decoded;
 }
 
@@ -104,13 +108,12 @@
     if (!is_name(decoded.entry)) return std::nullopt;
     auto const& grant = message.at(5);
     if (grant.is_null()) return decoded;
-    decoded.grant = rate_grant{grant.at(0).get<std::uint64_t>(), grant.at(1).get<std::int64_t>(),
-                               grant.at(2).get<std::int64_t>(), grant.at(3).get<double>()};
-    decoded.echoed_sent_at_us = grant.at(4).get<std::int64_t>();
-    decoded.report_age_us = grant.at(5).get<std::int64_t>();
-    auto const is_valid = in_order(decoded.grant->recalled, decoded.grant->granted) &&
-                          is_rate(decoded.grant->calls_per_second) && decoded.report_age_us >= 0;
-    return is_valid ? std::optional{decoded} : std::nullopt;
+    decoded.grant = rate_grant{integer_from<std::uint64_t>(grant.at(0)), count_from(grant.at(1)),
+                               count_from(grant.at(2)), rate_from(grant.at(3))};
+    decoded.echoed_sent_at_us = time_us_from(grant.at(4));
+    decoded.report_age_us = integer_from<std::int64_t>(grant.at(5), 0, max_time_us);
+    if (decoded.grant->recalled > decoded.grant->granted) return std::nullopt;
+    return decoded;
 }
 
 } // namespace hibiscuswall
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -105,6 +105,9 @@
     CHECK(is_rejected([](auto& body) { body[1][7] = 4; }));
     CHECK(is_rejected([](auto& body) { body[1][2] = "nowhere"; }));
     CHECK(is_rejected([](auto& body) { body[3] = "x"; }));
+    CHECK(is_rejected([](auto& body) { body[3] = 1e300; }));
+    CHECK(is_rejected([](auto& body) { body[3] = -1; }));
+    CHECK(is_rejected([](auto& body) { body[1][6] = 1e300; }));
     CHECK(is_rejected([](auto& body) { body.push_back(1); }));
     array[4] = -5;
     auto text = std::string{};
--- a/tests/unit/load_datagram_test.cpp
+++ b/tests/unit/load_datagram_test.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hibiscuswall;
@@ -172,6 +174,45 @@
 }
 
 // Guards against a datagram that exhausts the stack.
+// Guards against a number of another process that no field holds: cut to fit, or converted differently on
+// each kind of machine, it would count as one that was sent.
+TEST(load_datagram, a_datagram_with_a_number_that_its_field_cannot_hold_is_not_decoded)
+{
+    auto const odd = {nlohmann::json(1e300),   nlohmann::json(-1e300), nlohmann::json(0.5),
+                      nlohmann::json("17"),    nlohmann::json(-1),     nlohmann::json(std::nan("")),
+                      nlohmann::json(INFINITY)};
+    auto const encoded = [](nlohmann::json const& message) {
+        auto text = std::string{};
+        nlohmann::json::to_cbor(message, text);
+        return text;
+    };
+    auto const subscribed =
+        nlohmann::json::from_cbor(encode(subscription{"e1", "north", 7, 5, 0.25, 123, 31, {}}));
+    auto const outer = nlohmann::json::from_cbor(encode_for_subscriber(encode(sample()), 5, 40));
+    auto const inner = nlohmann::json::from_cbor(outer.at(1).get_binary());
+    CHECK(decode_datagram(encoded(subscribed)).has_value());
+    CHECK(decode_datagram(encoded(outer)).has_value());
+    for (auto const& value : odd) {
+        for (auto const field : {2U, 5U, 7U}) { // revisions
+            auto changed = subscribed;
+            changed[field] = value;
+            CHECK(!decode_datagram(encoded(changed)));
+        }
+        for (auto const field : {1U, 2U, 3U, 7U, 8U, 13U, 14U}) { // the start, counts, revisions
+            auto changed = inner;
+            changed[field] = value;
+            auto message = outer;
+            message[1] = nlohmann::json::binary(nlohmann::json::to_cbor(changed));
+            CHECK(!decode_datagram(encoded(message)));
+        }
+    }
+    for (auto const& value : {nlohmann::json(std::nan("")), nlohmann::json(1.5), nlohmann::json(-0.5)}) {
+        auto changed = subscribed;
+        changed[6] = value; // the fraction of callers that are rejected
+        CHECK(!decode_datagram(encoded(changed)));
+    }
+}
+
 TEST(load_datagram, a_datagram_nested_as_deeply_as_it_is_long_is_not_decoded)
 {
     CHECK_FALSE(decode_datagram(std::string(2'048, '\x81')).has_value()); // arrays of one element
--- a/tests/unit/rate_coordination_test.cpp
+++ b/tests/unit/rate_coordination_test.cpp
@@ -215,6 +215,16 @@
     bad.known.calls_per_second = -2;
     CHECK(!decode_datagram(encode(bad)));
 
+    for (auto const age : {std::numeric_limits<std::int64_t>::min(), std::int64_t{-2},
+                           std::numeric_limits<std::int64_t>::max()}) {
+        bad = good;
+        bad.known.named_age = milliseconds{age};
+        CHECK(!decode_datagram(encode(bad)));
+        bad = good;
+        bad.sent_at_us = age;
+        CHECK(decode_datagram(encode(bad)).has_value() == (age == -2));
+    }
+
     auto notice = rate_notice{good.endpoint, good.known, "e2", rate_grant{1, 5, 2, 1.0}, 10, 20};
     auto const taken = decode_datagram(encode(notice));
     CHECK(taken.has_value());
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -91,6 +91,30 @@
     CHECK_FALSE(platform::decode_configuration("[]").has_value());
 }
 
+// Guards against a configuration that means something else on each kind of machine, since a number in it is
+// beyond what its field can hold.
+TEST(service_map, a_document_with_a_number_out_of_range_is_rejected)
+{
+    auto const is_rejected = [](auto change) {
+        auto document = json::parse(configuration(1, {route("/a/", "s")}));
+        document["services"][0]["engine"] = {{"models", {{{"name", "m"}, {"warmupS", 2.5}}}}, {"slots", 16}};
+        change(document);
+        return !platform::decode_configuration(document.dump()).has_value();
+    };
+    CHECK_FALSE(is_rejected([](auto&) {}));
+    for (auto const value : {1e300, -1e300, -1.0, 1e9}) {
+        CHECK(is_rejected([&](auto& all) { all["services"][0]["coldStartS"] = value; }));
+        CHECK(is_rejected([&](auto& all) { all["services"][0]["engine"]["models"][0]["warmupS"] = value; }));
+    }
+    for (auto const value : {1e300, -1e300, 4294967297.0, 1.5}) {
+        CHECK(is_rejected([&](auto& all) { all["version"] = -value; }));
+        CHECK(is_rejected([&](auto& all) { all["routes"][0]["maxAttempts"] = value; }));
+        CHECK(is_rejected([&](auto& all) { all["services"][0]["maxConnections"] = value; }));
+        CHECK(is_rejected([&](auto& all) { all["services"][0]["engine"]["slots"] = value; }));
+        CHECK(is_rejected([&](auto& all) { all["tenants"][0]["priority"] = value; }));
+    }
+}
+
 // ---- endpoints
 
 TEST_GROUP(endpoint_records){};
