--- a/src/api/ctl_options.cpp
+++ b/src/api/ctl_options.cpp
@@ -8,6 +8,8 @@
 namespace hibiscuswall {
 namespace {
 
+constexpr auto max_timeout = seconds{365LL * 24 * 3'600};
+
 constexpr auto usage = R"(
   apply -f FILE...             declare resources; all take effect at once
   diff -f FILE...              compare files with what is in force; exit code 6 on a difference
@@ -46,8 +48,10 @@
     if (options.condition != "config" && options.condition != "weights")
         return fail(result_code::usage_invalid, "--for: must be config or weights");
     auto const limit = given["timeout"].as<double>();
-    if (limit < 0) return fail(result_code::usage_invalid, "--timeout: must not be negative");
-    options.timeout = milliseconds{static_cast<long long>(limit * 1'000)};
+    if (!(limit >= 0 && limit <= std::chrono::duration<double>(max_timeout).count()))
+        return fail(result_code::usage_invalid,
+                    "--timeout: must be from 0 to " + std::to_string(max_timeout.count()) + " seconds");
+    options.timeout = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(limit));
     options.complete = given.count("complete") > 0;
     return success();
 }
