Compare a negative number of seconds before converting it, too

bounded_duration() of converted -1e12 s before it took the larger of it and zero: the address build ends there ("-1e+21 is outside the range"). No caller passes a negative number.

--- a/include/hibiscuswall/core/time.hpp
+++ b/include/hibiscuswall/core/time.hpp
@@ -5,7 +5,6 @@
 //
 // Only daemons and transports read the clock (clock::now()).
 
-#include <algorithm>
 #include <chrono>
 
 namespace hibiscuswall {
@@ -34,7 +33,8 @@
 {
     auto const span = std::chrono::duration<double>{span_seconds};
     if (!(span < longest)) return longest;
-    return std::max(std::chrono::duration_cast<clock::duration>(span), clock::duration::zero());
+    if (span.count() <= 0) return clock::duration::zero();
+    return std::chrono::duration_cast<clock::duration>(span);
 }
 
 // Wall clock in milliseconds since 1970; only for display and for records read by other processes.
