Tests: two test programs that run at the same time take distant ports

Seen by reading, for the second run of all tests that follows: programs whose process ids differ by a few started 97 ports apart, and one uses more than 97, so that a port which one had chosen and not yet bound could be the other's. Now 7,919 apart for each step of the process id, modulo 20,000.

--- a/tests/support/port_pool.hpp
+++ b/tests/support/port_pool.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // Ports on 127.0.0.1 below the kernel's ephemeral range: an outgoing connection cannot take one between its
-// choice and the start of the process that listens there. Test programs start at different places by their
-// process id.
+// choice and the start of the process that listens there. Test programs start at distant places by their
+// process id, so that two that run at the same time do not meet.
 //
 //   auto where = port_pool::next();
 
@@ -20,7 +20,7 @@
     {
         constexpr auto first = 12'000;
         constexpr auto count = 20'000; // up to 31999; ephemeral ports start at 32768
-        static auto offset = (getpid() * 97) % count;
+        static auto offset = (getpid() % count * 7'919) % count;
         while (true) {
             auto const port = static_cast<unsigned short>(first + offset);
             offset = (offset + 1) % count;
