--- a/tests/unit/portability_test.cpp
+++ b/tests/unit/portability_test.cpp
@@ -1,5 +1,6 @@
 // What must be the same on every kind of machine that the programs are built for.
 #include "hibiscuswall/core/time.hpp"
+#include "hibiscuswall/http/http_message.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -7,6 +8,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -56,6 +59,18 @@
     CHECK(bounded_duration(std::numeric_limits<double>::quiet_NaN(), longest) == longest);
 }
 
+// Guards against comparisons of plain char, in which bytes from 128 up are negative on one kind of machine
+// only.
+TEST(portability, bytes_beyond_ascii_are_escaped_in_a_path_and_read_back)
+{
+    auto const cases = std::vector<std::pair<std::string, std::string>>{
+        {"\x80", "%80"}, {"caf\xC3\xA9", "caf%C3%A9"}, {"\xFF/~", "%FF/~"}};
+    for (auto const& [text, encoded] : cases) {
+        STRCMP_EQUAL(encoded.c_str(), percent_encode(text).c_str());
+        CHECK(percent_decode(encoded) == text);
+    }
+}
+
 // Guards against a build whose memory for Asio's handlers no longer heeds alignment: Asio then takes it from
 // operator new, while the compiler relies on the alignment of the type.
 TEST(portability, a_handler_keeps_an_alignment_wider_than_that_of_operator_new)
