--- a/include/hibiscuswall/observe/log.hpp
+++ b/include/hibiscuswall/observe/log.hpp
@@ -7,6 +7,8 @@
 // Before a log_writer exists and after it is destroyed, lines are discarded. When its ring is full, lines are
 // dropped and counted; the count appears in the next line that is written.
 
+#include "hibiscuswall/core/time.hpp"
+
 #include <initializer_list>
 #include <memory>
 #include <string>
@@ -26,6 +28,9 @@
     std::string value;    // quoted when it holds a space, '=' or a quote
 };
 
+// Value of a field whose key ends in _ms: whole milliseconds.
+[[nodiscard]] auto milliseconds_text(clock::duration span) -> std::string;
+
 auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) -> void;
 
 // "debug", "info", "warning" or "error"; info for anything else.
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -18,11 +18,6 @@
 // Smaller corrections of the time of a declaration come with nearly every message of a peer.
 constexpr auto min_logged_correction = milliseconds{100};
 
-auto ms_text(clock::duration span) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 // Forgets the declaration that was followed most closely; its successor takes over its time, so that no
 // version is allowed for longer.
 auto merge_closest(std::vector<declared_weights>& list) -> void
@@ -160,7 +155,7 @@
     log_event(log_level::info, "weights_declared",
               {{"model", model},
                {"version", std::to_string(version.value())},
-               {"declared_ms_ago", ms_text(now - since)}});
+               {"declared_ms_ago", milliseconds_text(now - since)}});
 }
 
 // The first declaration that is kept decides what is excluded until the next one's grace period has ended.
@@ -196,7 +191,7 @@
     log_event(log_level::info, "weights_declared_earlier",
               {{"model", std::string{model}},
                {"version", std::to_string(declaration.version)},
-               {"by_ms", ms_text(by)}});
+               {"by_ms", milliseconds_text(by)}});
 }
 
 auto declared_state::note_skipped_versions(store_item const& item, time_point now, time_point declared_at)
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -127,6 +127,11 @@
     if (!writer->lines.try_push({level, std::move(line)})) ++writer->dropped;
 }
 
+auto milliseconds_text(clock::duration span) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
 auto log_level_from_text(std::string_view text) -> log_level
 {
     if (text == "debug") return log_level::debug;
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -5,11 +5,6 @@
 namespace hibiscuswall {
 namespace {
 
-auto ms_text(clock::duration span) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 auto version_text(service_map_ptr const& map) -> std::string
 {
     return map == nullptr ? "none" : std::to_string(map->version());
@@ -56,10 +51,10 @@
                {"runs", std::to_string(call.run_count)},
                {"endpoints", std::to_string(call.tried_endpoints.size())},
                {"last_endpoint", call.tried_endpoints.empty() ? "none" : *call.tried_endpoints.rbegin()},
-               {"first_ms", has_events ? ms_text(call.first_event_at - call.arrived_at) : "none"},
-               {"longest_gap_ms", ms_text(call.max_event_gap)},
-               {"unread_ms", ms_text(call.read_at - call.arrived_at)},
-               {"total_ms", ms_text(now - call.arrived_at)},
+               {"first_ms", has_events ? milliseconds_text(call.first_event_at - call.arrived_at) : "none"},
+               {"longest_gap_ms", milliseconds_text(call.max_event_gap)},
+               {"unread_ms", milliseconds_text(call.read_at - call.arrived_at)},
+               {"total_ms", milliseconds_text(now - call.arrived_at)},
                {"config_version", version_text(call.map)},
                {"newest_config_version", version_text(declared_state_.map())}});
 }
@@ -73,7 +68,7 @@
                {"reason", std::string{reason}},
                {"written", progress_text(call.out.progress())},
                {"sends", std::to_string(call.send_count)},
-               {"total_ms", ms_text(clock::now() - call.arrived_at)},
+               {"total_ms", milliseconds_text(clock::now() - call.arrived_at)},
                {"config_version", version_text(call.map)},
                {"newest_config_version", version_text(declared_state_.map())}});
 }
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -22,11 +22,6 @@
 template<class... Functions>
 overloaded(Functions...) -> overloaded<Functions...>;
 
-auto ms_text(clock::duration span) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 // Formats a Retry-After value in seconds; callers accept fractions.
 auto seconds_text(milliseconds span) -> std::string
 {
@@ -261,7 +256,7 @@
                {"endpoint", endpoint.record.id},
                {"reason", std::string{reason}},
                {"failures_in_row", std::to_string(endpoint.failures_in_row)},
-               {"after_ms", ms_text(clock::now() - call.sent_at)}});
+               {"after_ms", milliseconds_text(clock::now() - call.sent_at)}});
 }
 
 // The configuration changed between two sends and no longer has a route for the call.
--- a/src/weights/engine_weights_controller_chunks.cpp
+++ b/src/weights/engine_weights_controller_chunks.cpp
@@ -28,11 +28,6 @@
 constexpr auto max_agent_list_reads = 5; // before a transfer begins without the list of agents
 constexpr auto max_concurrent_versions = std::size_t{2}; // transferred at the same time
 
-auto ms_text(clock::duration span) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 } // namespace
 
 // ---- chunk holdings of peers
@@ -219,7 +214,7 @@
     if (done) {
         complete_since_.try_emplace(version, clock::now());
         log_event(log_level::info, "weights_whole",
-                  {{"version", found->id()}, {"took_ms", ms_text(clock::now() - begun)}});
+                  {{"version", found->id()}, {"took_ms", milliseconds_text(clock::now() - begun)}});
     } else {
         co_await sleep_for(failure_retry_delay);
     }
--- a/src/weights/engine_weights_controller_switch.cpp
+++ b/src/weights/engine_weights_controller_switch.cpp
@@ -42,11 +42,6 @@
     return "unknown";
 }
 
-auto ms_text(clock::duration span) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 } // namespace
 
 auto engine_weights_controller::switch_version(std::uint64_t version) -> asio::awaitable<void>
@@ -115,7 +110,7 @@
     log_event(log_level::info, "engine_ordered",
               {{"version", weights_id(command.model, std::to_string(version))},
                {"fencing", std::to_string(command.fencing)},
-               {"compared_ms_ago", ms_text(clock::now() - compared_at)},
+               {"compared_ms_ago", milliseconds_text(clock::now() - compared_at)},
                {"outcome", outcome_text(outcome)},
                {"answer", response ? response.value().body : response.error().message}});
     if (outcome == platform::order_outcome::not_sent)
@@ -132,8 +127,9 @@
     while (clock::now() - begun < switch_timeout && engine_started_at_ms_ == start) {
         co_await sleep_for(reconcile_interval);
         if (held_version() != version) continue;
-        log_event(log_level::info, "weights_serving",
-                  {{"version", std::to_string(version)}, {"took_ms", ms_text(clock::now() - begun)}});
+        log_event(
+            log_level::info, "weights_serving",
+            {{"version", std::to_string(version)}, {"took_ms", milliseconds_text(clock::now() - begun)}});
         co_return;
     }
     log_event(log_level::warning, "weights_change_unfinished", {{"version", std::to_string(version)}});
