Order the store's revisions by its era, so that one given out again is newer

A store that comes back from an older copy gives out revisions again and names a higher Store-Era in all responses. Configuration 14, acknowledged at 21.539 s, is not in force at 29 s; an entry's log has no configuration_applied after 12.0 s and reads the range of endpoints at revision 28 some 60 times a second from 17.3 s on. Cause: state under a number that is no longer unique. A change counts as older than the known one, and is ignored; a watch from a revision that the store lacks gets 410, the range names a lower revision, the watch goes on from the old one and gets 410 again. Now: outside of the store's client, a revision is one number with the era above the store's own (platform/store_revision.hpp), so that every comparison, in this process and between processes, holds as it stands. What belongs to an earlier era is never sent: a watch reads the range, a conditional write is a conflict (another change may have the expected number), a lease has ended (its id may be granted again). A response that names no era is of the newest known one. The stand-in store can be restored from a copy. With the header not read, the five tests of restored_store fail.

--- a/include/hibiscuswall/fleet/entry_registration.hpp
+++ b/include/hibiscuswall/fleet/entry_registration.hpp
@@ -39,7 +39,7 @@
     random_source& random_;
     listed_entry self_;
     registration_settings settings_;
-    std::optional<std::uint64_t> lease_; // none while this entry is not listed
+    std::optional<store_lease> lease_; // none while this entry is not listed
 };
 
 } // namespace hibiscuswall
--- a/standins/support/key_value_table.cpp
+++ b/standins/support/key_value_table.cpp
@@ -18,18 +18,6 @@
 constexpr auto longest_watch = milliseconds{30'000};
 constexpr auto most_rows = std::size_t{32}; // of one transaction
 
-auto send_body(http_responder& out, int status, std::string body) -> asio::awaitable<void>
-{
-    auto answer = json_response(status, std::move(body));
-    co_await out.send(std::move(answer));
-}
-
-// No coroutine: GCC 12 destroys a JSON temporary inside a co_await expression twice.
-auto answer(http_responder& out, int status, json const& body) -> asio::awaitable<void>
-{
-    return send_body(out, status, body.dump());
-}
-
 auto number(http_request const& request, std::string_view name) -> std::uint64_t
 {
     return std::strtoull(request.query(name).c_str(), nullptr, 10);
@@ -57,6 +45,33 @@
 
 } // namespace
 
+auto key_value_table::send_body(http_responder& out, int status, std::string body) const
+    -> asio::awaitable<void>
+{
+    auto response = json_response(status, std::move(body));
+    if (era > 0) response.headers.set("Store-Era", std::to_string(era));
+    co_await out.send(std::move(response));
+}
+
+// No coroutine: GCC 12 destroys a JSON temporary inside a co_await expression twice.
+auto key_value_table::answer(http_responder& out, int status, json const& body) const -> asio::awaitable<void>
+{
+    return send_body(out, status, body.dump());
+}
+
+auto key_value_table::copy() const -> store_copy { return {entries, revision}; }
+
+auto key_value_table::restore(store_copy held) -> void
+{
+    entries = std::move(held.entries);
+    revision = held.revision;
+    leases_.clear();
+    std::erase_if(deletions_, [&](auto const& each) { return each.revision > revision; });
+    std::erase_if(replaced_, [&](auto const& each) { return each.second.revision > revision; });
+    ++era;
+    wake();
+}
+
 auto key_value_table::serve(http_router& routes) -> void
 {
     using out_t = http_responder;
@@ -173,7 +188,8 @@
     out.on_disconnect([&timer] { timer.cancel(); });
     waiting_.insert(&timer);
     most_waiting_ = std::max(most_waiting_, waiting_.size());
-    auto const has_news = [&] { return after < compacted || !changes(prefix, after).empty(); };
+    auto const is_lost = [&] { return after < compacted || after > revision; };
+    auto const has_news = [&] { return is_lost() || !changes(prefix, after).empty(); };
     while (!down && (silent_watches || !has_news()) && clock::now() < deadline && !out.disconnected()) {
         timer.expires_at(deadline);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -181,7 +197,7 @@
     waiting_.erase(&timer);
     out.on_disconnect([] {});
     if (down) co_return co_await send_body(out, 503, "{}");
-    if (after < compacted) co_return co_await send_body(out, 410, "{}");
+    if (is_lost()) co_return co_await send_body(out, 410, "{}");
     auto const news = json{{"events", changes(prefix, after)}, {"currentRev", revision}};
     co_await answer(out, 200, news);
 }
--- a/standins/support/key_value_table.hpp
+++ b/standins/support/key_value_table.hpp
@@ -32,6 +32,12 @@
         std::uint64_t lease = 0;    // 0: none
     };
 
+    // What a later restore() brings back.
+    struct store_copy {
+        std::map<std::string, entry> entries;
+        std::uint64_t revision = 0;
+    };
+
     explicit key_value_table(asio::io_context& io) : io_{io} {}
 
     auto serve(http_router& routes) -> void;
@@ -42,9 +48,15 @@
     // Waiting watches look again: after a change of entries, of down or of compacted.
     auto wake() -> void;
 
+    // Goes back to a copy: later writes and all leases are lost, revisions are given out again, the era
+    // rises.
+    [[nodiscard]] auto copy() const -> store_copy;
+    auto restore(store_copy held) -> void;
+
     // ---- content
     std::map<std::string, entry> entries;
     std::uint64_t revision = 0;
+    std::uint64_t era = 0;                      // named in all responses; 0: not named
     std::uint64_t compacted = 0;                // history up to this revision is gone: 410
     bool silent_watches = false;                // waiting watches are told of nothing before their time is up
     std::map<std::string, int> writes;          // by key
@@ -79,6 +91,8 @@
     auto keep_lease(http_request const& request, http_responder& out) -> asio::awaitable<void>;
     auto end_lease(http_request const& request, http_responder& out) -> asio::awaitable<void>;
 
+    auto send_body(http_responder& out, int status, std::string body) const -> asio::awaitable<void>;
+    auto answer(http_responder& out, int status, nlohmann::json const& body) const -> asio::awaitable<void>;
     auto apply(nlohmann::json const& puts, nlohmann::json const& removals) -> void;
     auto remove(std::string const& key) -> void;
     auto expire_leases(time_point now) -> void;
--- /dev/null
+++ b/tests/unit/restored_store_test.cpp
@@ -0,0 +1,130 @@
+// Tests that what this process knows survives a store that comes back from an older copy: revisions are given
+// out again, writes and leases are lost, and what operators and endpoints wrote is written again.
+#include "hibiscuswall/fleet/declared_state.hpp"
+#include "hibiscuswall/fleet/prefix_watcher.hpp"
+#include "platform/key_value_client.hpp"
+#include "platform/store_revision.hpp"
+
+#include "support/fake_store.hpp"
+#include "support/run_coroutine.hpp"
+
+#include <map>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscuswall;
+
+TEST_GROUP(restored_store)
+{
+    asio::io_context io;
+    fake_store store{io};
+    timeline events{"mirror", 16};
+    http_client client{io, &events};
+    random_source random{3};
+    key_value_client kv{client, {store.where}, milliseconds{300}};
+
+    void setup() override { store.era = 1; }
+
+    auto put(std::string key, std::string value)->std::uint64_t
+    {
+        return run_coroutine(io, kv.put(std::move(key), std::move(value), std::nullopt)).value();
+    }
+    auto find(std::string key)->std::optional<key_value_entry>
+    {
+        return run_coroutine(io, kv.find(std::move(key))).value();
+    }
+};
+
+// Guards against a change that counts as older than one before the restore, and is ignored.
+TEST(restored_store, a_revision_given_out_again_is_newer_than_before)
+{
+    put("p/a", "1");
+    auto const copy = store.copy();
+    auto const lost = put("p/a", "2");
+    put("p/a", "3");
+    store.restore(copy);
+    auto const again = put("p/a", "2");
+    CHECK(store_revision::from_ordered(again).revision == store_revision::from_ordered(lost).revision);
+    CHECK(again > lost);
+    CHECK(find("p/a")->revision == again);
+}
+
+// Guards against a watch that goes on from a revision which now stands for another change: what was written
+// between the copy and that revision would never be received.
+TEST(restored_store, a_watch_does_not_go_on_from_a_revision_of_before)
+{
+    put("p/a", "1");
+    auto const copy = store.copy();
+    auto const known = put("p/a", "2");
+    store.restore(copy);
+    for (auto i = 0; i < 3; ++i)
+        static_cast<void>(run_coroutine(io, kv.watch_prefix("q/", 0, milliseconds{1})));
+    store.revision += 5; // the store has given out the known revision again
+    auto const watched = run_coroutine(io, kv.watch_prefix("p/", known, milliseconds{1}));
+    CHECK_FALSE(watched);
+    CHECK(watched.error().code == result_code::history_unavailable);
+}
+
+// Guards against a conditional write that succeeds because another change has the expected number.
+TEST(restored_store, a_write_that_expects_a_revision_of_before_changes_nothing)
+{
+    auto const copy = store.copy();
+    auto const known = put("p/a", "mine");
+    store.restore(copy);
+    auto const other = put("p/a", "another's");
+    CHECK(store_revision::from_ordered(other).revision == store_revision::from_ordered(known).revision);
+    auto const written = run_coroutine(io, kv.put("p/a", "mine, later", known));
+    CHECK_FALSE(written);
+    CHECK(written.error().code == result_code::revision_conflict);
+    CHECK_FALSE(run_coroutine(io, kv.erase("p/a", known)));
+    CHECK(find("p/a")->value == "another's");
+}
+
+// Guards against a process that believes itself listed because its lease's id was granted to another one.
+TEST(restored_store, a_lease_of_before_has_ended)
+{
+    auto const mine = run_coroutine(io, kv.open_lease(milliseconds{10'000})).value();
+    store.restore(store.copy());
+    find("p/a");
+    auto const renewed = run_coroutine(io, kv.renew_lease(mine));
+    CHECK_FALSE(renewed);
+    CHECK(renewed.error().code == result_code::resource_not_found);
+    CHECK_FALSE(run_coroutine(io, kv.put("p/a", "1", std::nullopt, mine)));
+}
+
+// Guards against a watcher that reads the range again and again, or hears of nothing, until the store has
+// given out as many revisions as before.
+TEST(restored_store, a_watcher_follows_the_changes_after_a_restore)
+{
+    auto received = std::map<std::string, std::string>{};
+    auto ranges = 0;
+    auto const on_range = [&](store_range const& found, bool) {
+        ++ranges;
+        for (auto const& item : found.items)
+            received[item.key] = item.value;
+    };
+    auto const on_change = [&](store_change const& change, bool) {
+        received[change.key] = change.value.value_or("");
+    };
+    auto settings = prefix_watcher_settings{};
+    settings.wait = milliseconds{200};
+    auto watcher = prefix_watcher{kv, random, "p/", settings, {on_range, on_change}};
+    put("p/a", "1");
+    auto const copy = store.copy();
+    for (auto i = 0; i < 10; ++i)
+        put("p/lost", std::to_string(i));
+    asio::co_spawn(io, watcher.run(), asio::detached);
+    auto const run_for = [&](milliseconds time) {
+        io.restart();
+        io.run_for(time);
+    };
+    run_for(milliseconds{100});
+    store.restore(copy);
+    run_for(milliseconds{300});
+    CHECK(ranges <= 4);
+    put("p/a", "2");
+    run_for(milliseconds{100});
+    CHECK(received["p/a"] == "2");
+    CHECK(ranges <= 4);
+}
