Keep what operators declared while a restored store names older values

What callers would see: a restored store names the configuration of its copy until the operator has written the newer one again; it had lost an evacuation that is in force, and the failure domain would get calls. Cause: what the store names last was taken for what operators said last. The configuration in force was kept by its version, but the older document went to peers under the newer revision; an absent key counted as deleted. Now: a configuration or declaration of a lower version than the known one is refused with a line (configuration_older) and not passed on. For 3 s after a restore, what the range lacks is kept; then the range is read once more, and what is absent still is deleted. The test of older configurations fails without the check; the one of evacuations needs merge().

--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -7,7 +7,9 @@
 //   declared.map();                                         // null until the first one was applied
 //   declared.min_version("m", now);                         // oldest weights that a request may start on
 //
-// Never goes back: a change is ignored unless its revision is newer than the known revision of its key.
+// Never goes back: a change is ignored unless its revision is newer than the known revision of its key, and
+// unless the version that a configuration or a declaration names is at least the known one. A store that was
+// restored from a copy names an older one until operators have written the newer one again.
 //
 // The grace period of an old weights version runs from its successor's declaration, which this process may
 // receive late: after a pause, after a call to the store that got no response, or behind a large value. So
@@ -76,6 +78,10 @@
         replace(prefix, items, revision, now, now);
     }
 
+    // Merges items of the operators' keys, as replace() does, but deletes nothing: what is absent may have
+    // been lost by the store.
+    auto merge(std::span<store_item const> items, time_point now, time_point since) -> void;
+
     // Takes over from a peer that a weights declaration was made at this time, if that is earlier than known.
     auto correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at) -> void;
 
@@ -129,9 +135,10 @@
     [[nodiscard]] auto has_read(std::string_view prefix) const -> bool;
     static auto set_declared_at(std::string_view model, declared_weights& declaration, time_point declared_at)
         -> void;
-    auto apply_configuration(std::string const& value, std::uint64_t revision) -> void;
+    // These return whether the value is at least as new as the one that is in force.
+    auto apply_configuration(std::string const& value, std::uint64_t revision) -> bool;
     auto apply_weights_version(std::string const& model, std::string const& value, std::uint64_t revision,
-                               time_point now, time_point since) -> void;
+                               time_point now, time_point since) -> bool;
     auto forget_old(std::vector<declared_weights>& list, time_point now) const -> void;
     // Whether requests may no longer start on the versions before the declared one.
     [[nodiscard]] auto has_ended_grace_period(declared_weights const& declaration, time_point now) const
--- a/include/hibiscuswall/fleet/prefix_watcher.hpp
+++ b/include/hibiscuswall/fleet/prefix_watcher.hpp
@@ -1,7 +1,7 @@
 #pragma once
-// Watches all keys under one prefix of the platform's store. Recovers from store outages and from lost watch
-// history by reading the complete range again. Failures of other calls to the store tell of an outage as
-// well, so that a long watch need not end for it to be noticed.
+// Watches all keys under one prefix of the platform's store. Recovers from store outages, from lost watch
+// history and from a store that came back from an older copy by reading the complete range again. Failures of
+// other calls to the store tell of an outage as well, so that a long watch need not end for it to be noticed.
 //
 //   auto watcher = prefix_watcher{store, random, "config/", settings, {.on_range = ..., .on_change = ...}};
 //   asio::co_spawn(io, watcher.run(), asio::detached);
@@ -12,6 +12,7 @@
 #include "platform/key_value_client.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace hibiscuswall {
@@ -65,6 +66,10 @@
     // Every change made before this time is known.
     [[nodiscard]] auto complete_until() const -> time_point { return complete_until_; }
 
+    // Whether the store came back from an older copy so recently that what it lost may not be written again.
+    // The range is read once more when that time has passed.
+    [[nodiscard]] auto is_restoring(time_point now) const -> bool;
+
     auto set_batch_delay(milliseconds delay) -> void { settings_.batch_delay = delay; }
     // Duration of the next watches.
     auto set_wait(milliseconds wait) -> void { settings_.wait = wait; }
@@ -79,6 +84,8 @@
     auto set_change_times(time_point requested_at, time_point begun_at, time_point now) -> void;
     [[nodiscard]] auto arrived_since(time_point now) const -> time_point;
     auto on_store_failure(error const& reason) -> asio::awaitable<void>;
+    auto on_range_era(std::uint64_t revision, time_point now) -> void;
+    auto read_again_after_restore(time_point now) -> void;
     [[nodiscard]] auto recently_unavailable(time_point now) const -> bool;
 
     key_value_client& store_;
@@ -96,6 +103,8 @@
     time_point changed_since_;          // see changed_since()
     clock::duration response_delay_{0}; // of the latest response of the store, without its wait for a change
     time_point recovered_at_;           // time of the first response after failures
+    std::optional<time_point>
+        restored_at_; // when the range of a new era was first read, until it is read again
 };
 
 } // namespace hibiscuswall
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -270,8 +270,12 @@
     auto operator_events() -> prefix_watcher_callbacks
     {
         return {[this](store_range const& found, bool /*store_was_unavailable*/) {
-                    declared.replace(platform::operator_prefix, found.items, found.revision, clock::now(),
-                                     operators.changed_since());
+                    auto const now = clock::now();
+                    if (operators.is_restoring(now))
+                        declared.merge(found.items, now, operators.changed_since());
+                    else
+                        declared.replace(platform::operator_prefix, found.items, found.revision, now,
+                                         operators.changed_since());
                 },
                 [this](store_change const& change, bool /*store_was_unavailable*/) {
                     declared.apply(change, clock::now(), operators.changed_since());
@@ -286,6 +290,7 @@
 
     auto take_listing(store_range const& found, bool store_was_unavailable) -> void
     {
+        auto const now = clock::now();
         auto records = std::vector<endpoint_record>{};
         for (auto const& item : found.items) {
             auto record = platform::decode_endpoint(item.key, item.value);
@@ -295,8 +300,8 @@
             }
             log_event(log_level::warning, "endpoint_refused", {{"reason", record.error().message}});
         }
-        endpoints.replace(records, store_was_unavailable, clock::now());
-        endpoints.update_assignment(clock::now());
+        endpoints.replace(records, store_was_unavailable, now);
+        endpoints.update_assignment(now);
         has_listing = true;
         log_event(log_level::info, "endpoints_listed",
                   {{"endpoints", std::to_string(records.size())},
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -49,6 +49,18 @@
     if (on_change_) on_change_();
 }
 
+auto declared_state::merge(std::span<store_item const> items, time_point now, time_point since) -> void
+{
+    auto applied = false;
+    for (auto const& item : items) {
+        applied = put_item(item.key, item.value, item.revision, now, since) || applied;
+        revision_ = std::max(revision_, item.revision);
+    }
+    if (!applied) return;
+    changed_at_ = now;
+    if (on_change_) on_change_();
+}
+
 auto declared_state::replace(std::string_view prefix, std::vector<store_item> const& items,
                              std::uint64_t revision, time_point now, time_point since) -> void
 {
@@ -91,12 +103,12 @@
     if (known != items_.end() && known->second.revision >= revision) return false;
     auto const deleted = deleted_.find(key);
     if (deleted != deleted_.end() && deleted->second >= revision) return false;
-    items_[std::string{key}] = {std::string{key}, value, revision};
-    if (platform::is_configuration(key)) apply_configuration(value, revision);
+    if (platform::is_configuration(key) && !apply_configuration(value, revision)) return false;
     if (auto const model = platform::declared_model(key)) {
         weights_revision_ = std::max(weights_revision_, revision);
-        apply_weights_version(*model, value, revision, now, since);
+        if (!apply_weights_version(*model, value, revision, now, since)) return false;
     }
+    items_[std::string{key}] = {std::string{key}, value, revision};
     if (auto domain = platform::evacuated_domain(key)) {
         log_event(log_level::info, "failure_domain_out",
                   {{"failure_domain", *domain}, {"revision", std::to_string(revision)}});
@@ -121,33 +133,43 @@
     return true;
 }
 
-auto declared_state::apply_configuration(std::string const& value, std::uint64_t revision) -> void
+auto declared_state::apply_configuration(std::string const& value, std::uint64_t revision) -> bool
 {
     auto decoded = platform::decode_configuration(value);
     if (!decoded) {
         log_event(log_level::error, "configuration_refused",
                   {{"revision", std::to_string(revision)}, {"reason", decoded.error().message}});
-        return;
+        return true;
     }
-    if (map_ != nullptr && map_->version() >= decoded.value()->version()) return;
+    auto const version = decoded.value()->version();
+    if (map_ != nullptr && map_->version() > version) {
+        log_event(log_level::warning, "configuration_older",
+                  {{"version", std::to_string(version)},
+                   {"revision", std::to_string(revision)},
+                   {"known_version", std::to_string(map_->version())}});
+        return false;
+    }
+    if (map_ != nullptr && map_->version() == version) return true;
     map_ = std::move(decoded).value();
     log_event(log_level::info, "configuration_applied",
               {{"version", std::to_string(map_->version())},
                {"revision", std::to_string(revision)},
                {"routes", std::to_string(map_->routes().size())}});
+    return true;
 }
 
 auto declared_state::apply_weights_version(std::string const& model, std::string const& value,
-                                           std::uint64_t revision, time_point now, time_point since) -> void
+                                           std::uint64_t revision, time_point now, time_point since) -> bool
 {
     auto const version = platform::decode_weights_version(value);
     if (!version) {
         log_event(log_level::error, "weights_declaration_refused",
                   {{"model", model}, {"reason", version.error().message}});
-        return;
+        return true;
     }
     auto& list = versions_[model];
-    if (!list.empty() && list.back().version >= version.value()) return;
+    if (!list.empty() && list.back().version >= version.value())
+        return list.back().version == version.value();
     auto const known_since = revision == announced_revision_ ? std::min(now, announced_since_) : now;
     since = std::min(since, known_since);
     list.push_back({version.value(), since, known_since, revision});
@@ -156,6 +178,7 @@
               {{"model", model},
                {"version", std::to_string(version.value())},
                {"declared_ms_ago", milliseconds_text(now - since)}});
+    return true;
 }
 
 // The first declaration that is kept decides what is excluded until the next one's grace period has ended.
--- a/src/fleet/prefix_watcher.cpp
+++ b/src/fleet/prefix_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
+#include "platform/store_revision.hpp"
 
 #include <algorithm>
 #include <set>
@@ -12,6 +13,7 @@
 
 constexpr auto recovery_period =
     milliseconds{2'500}; // deletions this soon after an outage may be caused by it
+constexpr auto restore_period = milliseconds{3'000}; // until what a restored store had lost is written again
 // A response that begins no later than this many times the usual delay was not held back until there was a
 // change: the change had been made before the request arrived.
 constexpr auto immediate_response_factor = 4;
@@ -46,6 +48,7 @@
     changed_since_ = complete_until_;
     complete_until_ = std::max(complete_until_, requested_at);
     on_store_response();
+    on_range_era(range.value().revision, clock::now());
     revision_ = std::max(revision_, range.value().revision);
     for (auto const& item : range.value().items)
         changed_revision_ = std::max(changed_revision_, item.revision);
@@ -54,6 +57,24 @@
     co_return success();
 }
 
+auto prefix_watcher::on_range_era(std::uint64_t revision, time_point now) -> void
+{
+    auto const before = store_revision::from_ordered(revision_).era;
+    if (before != 0 && store_revision::from_ordered(revision).era > before) restored_at_ = now;
+}
+
+auto prefix_watcher::is_restoring(time_point now) const -> bool
+{
+    return restored_at_ && now - *restored_at_ < restore_period;
+}
+
+auto prefix_watcher::read_again_after_restore(time_point now) -> void
+{
+    if (!restored_at_ || is_restoring(now)) return;
+    restored_at_.reset();
+    complete_ = false;
+}
+
 auto prefix_watcher::refresh() -> asio::awaitable<void>
 {
     auto const read = co_await read_all();
@@ -71,6 +92,7 @@
     set_change_times(requested_at, received.value().begun_at, clock::now());
     on_store_response();
     revision_ = std::max(revision_, received.value().revision);
+    read_again_after_restore(clock::now());
     auto const unavailable = recently_unavailable(clock::now());
     auto seen_keys = std::set<std::string_view>{};
     for (auto const& change : received.value().changes) {
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/endpoint_records.hpp"
 #include "platform/engine_calls.hpp"
 #include "platform/operator_documents.hpp"
+#include "platform/store_revision.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -275,6 +276,30 @@
     CHECK(declared.out_of_service().empty());
 }
 
+// A store that was restored names what it had before, under revisions of its new era. Guards against a route
+// that is no longer served, and against a later configuration that is ignored.
+TEST(declared_state, a_restored_store_brings_no_older_configuration_back)
+{
+    constexpr auto era = store_revision{1, 0}.ordered();
+    set("op/config", configuration(7, {}), 20);
+    declared.merge(std::vector<store_item>{{"op/config", configuration(4, {}), era + 10}}, now, now);
+    CHECK_EQUAL(7U, declared.map()->version());
+    CHECK_EQUAL(20U, declared.items("op/config").front().revision); // peers are told of version 7
+    set("op/config", configuration(8, {}), era + 11);
+    CHECK_EQUAL(8U, declared.map()->version());
+}
+
+// Guards against an evacuated failure domain that gets calls because the store lost the operator's word.
+TEST(declared_state, an_evacuation_that_the_store_lost_stays_until_its_absence_is_certain)
+{
+    constexpr auto era = store_revision{1, 0}.ordered();
+    set("op/evacuate/gor-a", "{}", 5);
+    declared.merge(std::vector<store_item>{{"op/config", configuration(4, {}), era + 3}}, now, now);
+    CHECK(declared.out_of_service().contains("gor-a"));
+    declared.replace("op/", {{"op/config", configuration(4, {}), era + 3}}, era + 9, now);
+    CHECK(declared.out_of_service().empty());
+}
+
 TEST(declared_state, min_version_rises_shortly_before_the_grace_period_of_the_old_version_ends)
 {
     set("op/config", configuration(1, {}), 1);
