Keep endpoints that left out of use when a restored store lists them as before

What callers would see: an endpoint that announced its departure after the copy was made is ready again in the restored store, and one that has left is listed again; calls go to it until its record is written anew or expires, perhaps to another service at its address. Cause: a record replaced what the endpoint itself had said. Now: draining lasts for the rest of a run. While a restored store may lack what endpoints wrote, a run that was removed before is not taken back from the range; its next record is. The test fails before (i-1 gets the call).

--- a/include/hibiscuswall/serving/endpoint_table.hpp
+++ b/include/hibiscuswall/serving/endpoint_table.hpp
@@ -112,6 +112,9 @@
     auto add_or_update(endpoint_record const& record, time_point now) -> void;
     auto remove(std::string_view id, bool store_was_unavailable, time_point now) -> void;
 
+    // Whether this run of the endpoint was listed before and has been removed.
+    [[nodiscard]] auto has_removed(endpoint_record const& record) const -> bool;
+
     // Applies a complete listing of the store: endpoints that are not among the records are removed.
     auto replace(std::vector<endpoint_record> const& records, bool store_was_unavailable, time_point now)
         -> void;
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -295,12 +295,14 @@
         for (auto const& item : found.items) {
             auto record = platform::decode_endpoint(item.key, item.value);
             if (record) {
-                records.push_back(std::move(record).value());
+                // A restored store lists endpoints that have left since the copy.
+                if (!listing.is_restoring(now) || !endpoints.has_removed(record.value()))
+                    records.push_back(std::move(record).value());
                 continue;
             }
             log_event(log_level::warning, "endpoint_refused", {{"reason", record.error().message}});
         }
-        endpoints.replace(records, store_was_unavailable, now);
+        endpoints.replace(records, store_was_unavailable || listing.is_restoring(now), now);
         endpoints.update_assignment(now);
         has_listing = true;
         log_event(log_level::info, "endpoints_listed",
--- a/src/serving/endpoint_table.cpp
+++ b/src/serving/endpoint_table.cpp
@@ -58,7 +58,11 @@
         auto const region = regions_.find(record.failure_domain);
         if (region != regions_.end()) tracked->region = region->second;
     }
+    // An endpoint that leaves does not come back in the same run; a store that was restored may say
+    // otherwise.
+    auto const was_draining = tracked->record.draining;
     tracked->record = record;
+    tracked->record.draining = record.draining || was_draining;
     tracked->listed = true;
     tracked->record_lost_at.reset();
     if (record.cold_remaining.count() > 0) tracked->cold_until = now + record.cold_remaining;
@@ -81,6 +85,12 @@
     endpoints_.erase(found);
 }
 
+auto endpoint_table::has_removed(endpoint_record const& record) const -> bool
+{
+    auto const found = removed_.find(record.id);
+    return found != removed_.end() && found->second.endpoint->record.started_at_ms == record.started_at_ms;
+}
+
 // Returns null if the endpoint is not remembered.
 auto endpoint_table::restore_removed(std::string const& id) -> endpoint_ptr
 {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -156,6 +156,23 @@
     CHECK(state("i-1").accepts_calls(now));
 }
 
+// A store that was restored from a copy lists an endpoint as it was before it announced its departure. Guards
+// against calls that reach it.
+TEST(placement_allowed, an_endpoint_that_drained_before_its_record_was_restored_gets_no_calls)
+{
+    add(2);
+    auto leaving = record(1, "north-a");
+    leaving.draining = true;
+    table.add_or_update(leaving, now);
+    table.add_or_update(record(1, "north-a"), now);
+    STRCMP_EQUAL("i-2", send().c_str());
+    // It has left: its run is remembered, another run under the same id is not.
+    table.remove("i-1", false, now);
+    CHECK(table.has_removed(leaving));
+    leaving.started_at_ms = 77;
+    CHECK_FALSE(table.has_removed(leaving));
+}
+
 TEST(placement_allowed, an_endpoint_whose_agent_reports_its_departure_gets_no_calls)
 {
     add(2);
