--- a/include/hibiscuswall/core/checked_json.hpp
+++ b/include/hibiscuswall/core/checked_json.hpp
@@ -3,10 +3,12 @@
 // fraction beyond the range differently on each kind of machine, and its recursive functions exhaust the
 // stack on deeply nested documents; these functions reject both.
 //
-//   auto const object = parse_bounded(text);                               // throws bad_field,
-//   json::exception record.slots = integer_field<int>(object, "slots", 1, max_slots);      // as well, if
-//   absent record.cold = duration_field(object, "coldMs", milliseconds{0});       // absent: the last
-//   argument report.running = integer_from<int>(message.at(2), 0, max_calls);
+//   auto const object = parse_bounded(text);
+//   record.slots = integer_field<int>(object, "slots", 1, max_slots);
+//   record.cold = duration_field(object, "coldMs", milliseconds{0});    // absent: the last argument
+//   report.running = integer_from<int>(message.at(2), 0, max_calls);
+//
+// All throw bad_field or json::exception.
 
 #include "hibiscuswall/core/time.hpp"
 
