Treat an answer whose status is 000 as a failure of its endpoint

Seen on other systems: a worker in trouble sent an answer whose status was 000, and the client got it as an answer. This system did the same. Cause: Beast's parser accepts any three digits, and nobody looked at the number: 000 is neither interim nor a success, so that it was relayed as a final answer. http_client returned it to gates and agents as well. Now: a status outside of 100 to 599 is a malformed response at both readers. A call that may have run gets 502, any other is sent to another endpoint.

--- a/include/hibiscuswall/http/http_message.hpp
+++ b/include/hibiscuswall/http/http_message.hpp
@@ -73,6 +73,9 @@
     }
 };
 
+// Whether HTTP defines a class for the status; any other is no answer.
+[[nodiscard]] constexpr auto is_valid_status(int status) -> bool { return status >= 100 && status <= 599; }
+
 // Answer with a JSON text.
 [[nodiscard]] auto json_response(int status, std::string body) -> http_response;
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -210,6 +210,7 @@
                                                              parser_, awaitable_tuple);
         counts_.received += size;
         if (code) co_return code;
+        if (!is_valid_status(status())) co_return make_error_code(http::error::bad_status);
         for (auto const& field : parser_.get())
             headers_.set(std::string_view{field.name_string()}, std::string_view{field.value()});
         if (client_->events != nullptr && headers_.contains("Hw-Clock"))
--- a/src/serving/endpoint_response_parser.cpp
+++ b/src/serving/endpoint_response_parser.cpp
@@ -33,10 +33,11 @@
                          int /*version*/, error_code& /*code*/) -> void override
     {
     }
-    auto on_response_impl(int number, beast::string_view /*reason*/, int /*version*/, error_code& /*code*/)
+    auto on_response_impl(int number, beast::string_view /*reason*/, int /*version*/, error_code& code)
         -> void override
     {
         status = number;
+        if (!is_valid_status(number)) code = http::error::bad_status;
     }
     auto on_field_impl(http::field /*field*/, beast::string_view name, beast::string_view value,
                        error_code& /*code*/) -> void override
--- a/tests/integration/direct_entry_test.cpp
+++ b/tests/integration/direct_entry_test.cpp
@@ -197,6 +197,24 @@
     CHECK_EQUAL(502, ask("/book/x", "POST").status);
 }
 
+// Guards against an answer whose status is 000 that reaches the caller. What may have run is not sent again.
+TEST(direct_calls, an_answer_without_a_valid_status_is_a_failure_of_its_endpoint)
+{
+    auto broken = scripted_endpoint{[](auto const& request) {
+        auto bytes = signed_ok(request, "hello");
+        return scripted_response{bytes.replace(bytes.find("200"), 3, "000")};
+    }};
+    auto sound =
+        scripted_endpoint{[](auto const& request) { return scripted_response{signed_ok(request, "hello")}; }};
+    start_entry_with({&broken});
+    CHECK_EQUAL(502, ask("/book/a", "POST").status);
+    CHECK_EQUAL(1U, broken.requests().size());
+    put_endpoint("i-2", sound);
+    CHECK(await_condition(seconds{3}, [&] { return ask("/read/a").status == 200; }));
+    for (auto i = 0; i < 6; ++i)
+        CHECK_EQUAL(200, ask("/read/a").status);
+}
+
 // Guards against an idempotent call that waits for a stalled endpoint until its deadline.
 TEST(direct_calls, a_call_to_a_stalled_endpoint_is_retried_at_another)
 {
--- a/tests/unit/endless_answers_test.cpp
+++ b/tests/unit/endless_answers_test.cpp
@@ -53,6 +53,16 @@
     CHECK(answer.error().code == result_code::response_malformed);
 }
 
+// Guards against a gate or an agent that takes an answer without a status for one.
+TEST(endless_answers, a_status_outside_of_the_protocol_is_an_error)
+{
+    auto engine = scripted_endpoint{
+        [&](auto const&) { return scripted_response{"HTTP/1.1 000 Oops\r\nContent-Length: 0\r\n\r\n"}; }};
+    auto const answer = run_coroutine(io, client.fetch(engine.where(), {"GET", "/report"}, {}));
+    CHECK(!answer);
+    CHECK(answer.error().code == result_code::response_malformed);
+}
+
 // Guards against an agent that keeps up to 64 MB of a staged chunk of a few kilobytes.
 TEST(endless_answers, a_staged_chunk_larger_than_its_size_is_not_kept)
 {
--- a/tests/unit/endpoint_response_parser_test.cpp
+++ b/tests/unit/endpoint_response_parser_test.cpp
@@ -144,6 +144,17 @@
     check("HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello", true, response_state::invalid, "");
 }
 
+// Guards against an endpoint in trouble whose status 000 reaches the caller as an answer.
+TEST(endpoint_response_parser, a_status_outside_of_the_protocol_is_invalid)
+{
+    for (auto const* status : {"000", "099", "600", "999"}) {
+        auto bytes = std::string{sized};
+        check(bytes.replace(bytes.find("200"), 3, status), true, response_state::invalid, "");
+    }
+    auto bytes = std::string{sized};
+    check(bytes.replace(bytes.find("200"), 3, "599"), true, response_state::complete, "hello");
+}
+
 TEST(endpoint_response_parser, interim_responses_are_skipped)
 {
     check("HTTP/1.1 100 Continue\r\n\r\n" + std::string{sized}, false, response_state::complete, "hello");
