--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -93,34 +93,67 @@
     CHECK_FALSE(run_coroutine(io, kv.put("p/a", "1", std::nullopt, mine)));
 }
 
-// Guards against a watcher that reads the range again and again, or hears of nothing, until the store has
-// given out as many revisions as before.
-TEST(restored_store, a_watcher_follows_the_changes_after_a_restore)
+// ---- a watcher of a restored store
+
+TEST_GROUP(restored_store_watcher)
 {
-    auto received = std::map<std::string, std::string>{};
-    auto ranges = 0;
-    auto const on_range = [&](store_range const& found, bool) {
+    asio::io_context io;
+    fake_store store{io};
+    timeline events{"mirror", 16};
+    http_client client{io, &events};
+    random_source random{3};
+    key_value_client kv{client, {store.where}, milliseconds{300}};
+    std::map<std::string, std::string> received; // newest value by key
+    int ranges = 0;                              // read completely
+    prefix_watcher watcher{
+        kv,
+        random,
+        "p/",
+        settings(),
+        {[this](store_range const& found, bool) { take(found); },
+         [this](store_change const& change, bool) { received[change.key] = change.value.value_or(""); }}};
+
+    void setup() override { store.era = 1; }
+
+    static auto settings()->prefix_watcher_settings
+    {
+        auto made = prefix_watcher_settings{};
+        made.wait = milliseconds{200};
+        return made;
+    }
+    auto take(store_range const& found)->void
+    {
         ++ranges;
         for (auto const& item : found.items)
             received[item.key] = item.value;
-    };
-    auto const on_change = [&](store_change const& change, bool) {
-        received[change.key] = change.value.value_or("");
-    };
-    auto settings = prefix_watcher_settings{};
-    settings.wait = milliseconds{200};
-    auto watcher = prefix_watcher{kv, random, "p/", settings, {on_range, on_change}};
-    put("p/a", "1");
-    auto const copy = store.copy();
-    for (auto i = 0; i < 10; ++i)
-        put("p/lost", std::to_string(i));
-    asio::co_spawn(io, watcher.run(), asio::detached);
-    auto const run_for = [&](milliseconds time) {
+    }
+    auto put(std::string key, std::string value)->void
+    {
+        CHECK(run_coroutine(io, kv.put(std::move(key), std::move(value), std::nullopt)).has_value());
+    }
+    auto run_for(milliseconds time)->void
+    {
         io.restart();
         io.run_for(time);
-    };
-    run_for(milliseconds{100});
-    store.restore(copy);
+    }
+    // The watcher has seen ten changes that the store then loses.
+    auto lose_changes()->void
+    {
+        put("p/a", "1");
+        auto const copy = store.copy();
+        for (auto i = 0; i < 10; ++i)
+            put("p/lost", std::to_string(i));
+        asio::co_spawn(io, watcher.run(), asio::detached);
+        run_for(milliseconds{100});
+        store.restore(copy);
+    }
+};
+
+// Guards against a watcher that reads the range again and again, or hears of nothing, until the store has
+// given out as many revisions as before.
+TEST(restored_store_watcher, follows_the_changes_after_a_restore)
+{
+    lose_changes();
     run_for(milliseconds{300});
     CHECK(ranges <= 4);
     put("p/a", "2");
@@ -128,3 +161,15 @@
     CHECK(received["p/a"] == "2");
     CHECK(ranges <= 4);
 }
+
+// Guards against keys that the store lost and nobody wrote again, which would count as present for ever.
+TEST(restored_store_watcher, reads_the_range_once_more_when_what_was_lost_had_time_to_be_written_again)
+{
+    lose_changes();
+    run_for(milliseconds{500});
+    CHECK(watcher.is_restoring(clock::now()));
+    auto const before = ranges;
+    run_for(milliseconds{3'200});
+    CHECK_FALSE(watcher.is_restoring(clock::now()));
+    CHECK_EQUAL(before + 1, ranges);
+}
