Keep weights declarations that a restored store lost, by the same rule as other operators' words

What callers would see: an agent that starts after a restore, before the operator has declared the version again, learns from its entries that there is no declaration, and serves the first version. Cause: declarations have a watch of their own, whose range still deleted what a restored store lacks; only the watch of all operators' keys merged it. Two watches of one state, and the rule stood at one of them. Now: absent_keys says what a missing key means; the watcher names it, replace() of declared_state heeds it, both watches pass it on. merge() and its copy of replace()'s end are gone. restored_store_declarations.a_declaration_that_the_store_lost_is_kept failed before (0 items where 1 is expected).

--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -70,18 +70,15 @@
     // known keys that are absent are deleted unless they changed after that revision. Revision 0 comes from a
     // peer that has no declared state yet and changes nothing.
     // since: earliest time at which those that this process lacks may have been declared.
+    // absent: kept, none is deleted.
     auto replace(std::string_view prefix, std::vector<store_item> const& items, std::uint64_t revision,
-                 time_point now, time_point since) -> void;
+                 time_point now, time_point since, absent_keys absent = absent_keys::deleted) -> void;
     auto replace(std::string_view prefix, std::vector<store_item> const& items, std::uint64_t revision,
                  time_point now) -> void
     {
         replace(prefix, items, revision, now, now);
     }
 
-    // Merges items of the operators' keys, as replace() does, but deletes nothing: what is absent may have
-    // been lost by the store.
-    auto merge(std::span<store_item const> items, time_point now, time_point since) -> void;
-
     // Takes over from a peer that a weights declaration was made at this time, if that is earlier than known.
     auto correct_declaration(std::string_view key, std::uint64_t revision, time_point declared_at) -> void;
 
@@ -132,6 +129,8 @@
     auto put_item(std::string_view key, std::string const& value, std::uint64_t revision, time_point now,
                   time_point since) -> bool;
     auto delete_item(std::string_view key, std::uint64_t revision) -> bool;
+    auto delete_absent(std::string_view prefix, std::vector<store_item> const& present,
+                       std::uint64_t revision) -> bool;
     [[nodiscard]] auto has_read(std::string_view prefix) const -> bool;
     static auto set_declared_at(std::string_view model, declared_weights& declaration, time_point declared_at)
         -> void;
--- a/include/hibiscuswall/fleet/prefix_watcher.hpp
+++ b/include/hibiscuswall/fleet/prefix_watcher.hpp
@@ -69,6 +69,10 @@
     // Whether the store came back from an older copy so recently that what it lost may not be written again.
     // The range is read once more when that time has passed.
     [[nodiscard]] auto is_restoring(time_point now) const -> bool;
+    [[nodiscard]] auto absent(time_point now) const -> absent_keys
+    {
+        return is_restoring(now) ? absent_keys::kept : absent_keys::deleted;
+    }
 
     auto set_batch_delay(milliseconds delay) -> void { settings_.batch_delay = delay; }
     // Duration of the next watches.
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -271,11 +271,8 @@
     {
         return {[this](store_range const& found, bool /*store_was_unavailable*/) {
                     auto const now = clock::now();
-                    if (operators.is_restoring(now))
-                        declared.merge(found.items, now, operators.changed_since());
-                    else
-                        declared.replace(platform::operator_prefix, found.items, found.revision, now,
-                                         operators.changed_since());
+                    declared.replace(platform::operator_prefix, found.items, found.revision, now,
+                                     operators.changed_since(), operators.absent(now));
                 },
                 [this](store_change const& change, bool /*store_was_unavailable*/) {
                     declared.apply(change, clock::now(), operators.changed_since());
@@ -294,13 +291,11 @@
         auto records = std::vector<endpoint_record>{};
         for (auto const& item : found.items) {
             auto record = platform::decode_endpoint(item.key, item.value);
-            if (record) {
-                // A restored store lists endpoints that have left since the copy.
-                if (!listing.is_restoring(now) || !endpoints.has_removed(record.value()))
-                    records.push_back(std::move(record).value());
-                continue;
-            }
-            log_event(log_level::warning, "endpoint_refused", {{"reason", record.error().message}});
+            if (!record)
+                log_event(log_level::warning, "endpoint_refused", {{"reason", record.error().message}});
+            // A restored store lists endpoints that have left since the copy.
+            else if (!listing.is_restoring(now) || !endpoints.has_removed(record.value()))
+                records.push_back(std::move(record).value());
         }
         endpoints.replace(records, store_was_unavailable || listing.is_restoring(now), now);
         endpoints.update_assignment(now);
--- a/src/fleet/declaration_watch.cpp
+++ b/src/fleet/declaration_watch.cpp
@@ -45,8 +45,9 @@
 auto declaration_watch::callbacks() -> prefix_watcher_callbacks
 {
     return {[this](store_range const& found, bool /*store_was_unavailable*/) {
-                declared_state_.replace(platform::weights_prefix, found.items, found.revision, clock::now(),
-                                        changed_since());
+                auto const now = clock::now();
+                declared_state_.replace(platform::weights_prefix, found.items, found.revision, now,
+                                        changed_since(), watcher_.absent(now));
             },
             [this](store_change const& change, bool /*store_was_unavailable*/) {
                 declared_state_.apply_alone(change, clock::now(), changed_since());
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -49,38 +49,19 @@
     if (on_change_) on_change_();
 }
 
-auto declared_state::merge(std::span<store_item const> items, time_point now, time_point since) -> void
-{
-    auto applied = false;
-    for (auto const& item : items) {
-        applied = put_item(item.key, item.value, item.revision, now, since) || applied;
-        revision_ = std::max(revision_, item.revision);
-    }
-    if (!applied) return;
-    changed_at_ = now;
-    if (on_change_) on_change_();
-}
-
 auto declared_state::replace(std::string_view prefix, std::vector<store_item> const& items,
-                             std::uint64_t revision, time_point now, time_point since) -> void
+                             std::uint64_t revision, time_point now, time_point since, absent_keys absent)
+    -> void
 {
     // Store revisions start above 0; 0 comes from a peer that has no declared state yet.
     if (revision == 0) return;
     // Items found by the first read may have been declared long ago, so they get no grace period.
     if (!has_read(prefix)) since = now - settings_.old_version_grace_period;
     read_prefixes_.insert(std::string{prefix});
-    auto present = std::set<std::string_view>{};
     auto applied = false;
-    for (auto const& item : items) {
-        present.insert(item.key);
+    for (auto const& item : items)
         applied = put_item(item.key, item.value, item.revision, now, since) || applied;
-    }
-    auto deleted_keys = std::vector<std::string>{};
-    for (auto const& [key, item] : items_)
-        if (key.starts_with(prefix) && !present.contains(key) && item.revision <= revision)
-            deleted_keys.push_back(key);
-    for (auto const& key : deleted_keys)
-        applied = delete_item(key, revision) || applied;
+    if (absent == absent_keys::deleted) applied = delete_absent(prefix, items, revision) || applied;
     if (prefix == platform::operator_prefix)
         for (auto const& item : items)
             revision_ = std::max(revision_, item.revision);
@@ -89,6 +70,22 @@
     if (on_change_) on_change_();
 }
 
+auto declared_state::delete_absent(std::string_view prefix, std::vector<store_item> const& present,
+                                   std::uint64_t revision) -> bool
+{
+    auto present_keys = std::set<std::string_view>{};
+    for (auto const& item : present)
+        present_keys.insert(item.key);
+    auto deleted_keys = std::vector<std::string>{};
+    for (auto const& [key, item] : items_)
+        if (key.starts_with(prefix) && !present_keys.contains(key) && item.revision <= revision)
+            deleted_keys.push_back(key);
+    auto applied = false;
+    for (auto const& key : deleted_keys)
+        applied = delete_item(key, revision) || applied;
+    return applied;
+}
+
 // Whether the prefix was read before, by itself or as a part of a shorter one.
 auto declared_state::has_read(std::string_view prefix) const -> bool
 {
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -1,5 +1,6 @@
 // Tests that what this process knows survives a store that comes back from an older copy: revisions are given
 // out again, writes and leases are lost, and what operators and endpoints wrote is written again.
+#include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/declared_state.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
 #include "platform/key_value_client.hpp"
@@ -9,13 +10,12 @@
 #include "support/run_coroutine.hpp"
 
 #include <map>
-#include <memory>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace hibiscuswall;
 
-TEST_GROUP(restored_store)
+TEST_BASE(restored_store_base)
 {
     asio::io_context io;
     fake_store store{io};
@@ -34,8 +34,15 @@
     {
         return run_coroutine(io, kv.find(std::move(key))).value();
     }
+    auto run_for(milliseconds time)->void
+    {
+        io.restart();
+        io.run_for(time);
+    }
 };
 
+TEST_GROUP_BASE(restored_store, restored_store_base){};
+
 // Guards against a change that counts as older than one before the restore, and is ignored.
 TEST(restored_store, a_revision_given_out_again_is_newer_than_before)
 {
@@ -58,12 +65,14 @@
     auto const copy = store.copy();
     auto const known = put("p/a", "2");
     store.restore(copy);
-    for (auto i = 0; i < 3; ++i)
-        static_cast<void>(run_coroutine(io, kv.watch_prefix("q/", 0, milliseconds{1})));
-    store.revision += 5; // the store has given out the known revision again
-    auto const watched = run_coroutine(io, kv.watch_prefix("p/", known, milliseconds{1}));
-    CHECK_FALSE(watched);
-    CHECK(watched.error().code == result_code::history_unavailable);
+    store.revision += 5; // it has given out the known revision again
+    // The first call of this process, which tells it that the store was restored; then any later one.
+    for (auto i = 0; i < 2; ++i) {
+        auto const watched = run_coroutine(io, kv.watch_prefix("p/", known, milliseconds{1}));
+        CHECK_FALSE(watched);
+        CHECK(watched.error().code == result_code::history_unavailable);
+    }
+    CHECK_EQUAL(1U, store.calls["watch"]); // the second one was not sent
 }
 
 // Guards against a conditional write that succeeds because another change has the expected number.
@@ -95,14 +104,8 @@
 
 // ---- a watcher of a restored store
 
-TEST_GROUP(restored_store_watcher)
+TEST_GROUP_BASE(restored_store_watcher, restored_store_base)
 {
-    asio::io_context io;
-    fake_store store{io};
-    timeline events{"mirror", 16};
-    http_client client{io, &events};
-    random_source random{3};
-    key_value_client kv{client, {store.where}, milliseconds{300}};
     std::map<std::string, std::string> received; // newest value by key
     int ranges = 0;                              // read completely
     prefix_watcher watcher{
@@ -113,8 +116,6 @@
         {[this](store_range const& found, bool) { take(found); },
          [this](store_change const& change, bool) { received[change.key] = change.value.value_or(""); }}};
 
-    void setup() override { store.era = 1; }
-
     static auto settings()->prefix_watcher_settings
     {
         auto made = prefix_watcher_settings{};
@@ -127,15 +128,6 @@
         for (auto const& item : found.items)
             received[item.key] = item.value;
     }
-    auto put(std::string key, std::string value)->void
-    {
-        CHECK(run_coroutine(io, kv.put(std::move(key), std::move(value), std::nullopt)).has_value());
-    }
-    auto run_for(milliseconds time)->void
-    {
-        io.restart();
-        io.run_for(time);
-    }
     // The watcher has seen ten changes that the store then loses.
     auto lose_changes()->void
     {
@@ -173,3 +165,25 @@
     CHECK_FALSE(watcher.is_restoring(clock::now()));
     CHECK_EQUAL(before + 1, ranges);
 }
+
+// ---- weights declarations, which have a watch of their own
+
+TEST_GROUP_BASE(restored_store_declarations, restored_store_base)
+{
+    declared_state declared{{}};
+    pause_detector pauses;
+    declaration_watch watch{kv, random, declared, pauses};
+};
+
+// Guards against a declaration that is no longer passed on to peers because the store lost it.
+TEST(restored_store_declarations, a_declaration_that_the_store_lost_is_kept)
+{
+    auto const copy = store.copy();
+    put("op/version/m", R"({"model":"m","version":2})");
+    asio::co_spawn(io, watch.run(), asio::detached);
+    run_for(milliseconds{100});
+    CHECK_EQUAL(2U, declared.newest_version("m"));
+    store.restore(copy);
+    run_for(milliseconds{300});
+    CHECK_EQUAL(1U, declared.items("op/version/").size());
+}
--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -282,7 +282,8 @@
 {
     constexpr auto era = store_revision{1, 0}.ordered();
     set("op/config", configuration(7, {}), 20);
-    declared.merge(std::vector<store_item>{{"op/config", configuration(4, {}), era + 10}}, now, now);
+    declared.replace("op/", {{"op/config", configuration(4, {}), era + 10}}, era + 10, now, now,
+                     absent_keys::kept);
     CHECK_EQUAL(7U, declared.map()->version());
     CHECK_EQUAL(20U, declared.items("op/config").front().revision); // peers are told of version 7
     set("op/config", configuration(8, {}), era + 11);
@@ -294,7 +295,8 @@
 {
     constexpr auto era = store_revision{1, 0}.ordered();
     set("op/evacuate/gor-a", "{}", 5);
-    declared.merge(std::vector<store_item>{{"op/config", configuration(4, {}), era + 3}}, now, now);
+    declared.replace("op/", {{"op/config", configuration(4, {}), era + 3}}, era + 9, now, now,
+                     absent_keys::kept);
     CHECK(declared.out_of_service().contains("gor-a"));
     declared.replace("op/", {{"op/config", configuration(4, {}), era + 3}}, era + 9, now);
     CHECK(declared.out_of_service().empty());
