Send a call again on a new connection if the endpoint had just closed the kept one

What callers saw: 504, "no usable endpoint, usable=0", for a call that may be repeated and had an attempt left, although its only endpoint was sound.

Cause: an endpoint that closes an idle connection at the moment at which the entry sends the next call on it. The peek that drops closed connections from the pool cannot see a close that is still on its way. The entry took the end of that connection for a failure of the endpoint, excluded it for the rest of the call, and had no other.

The sound call before it was answered with a length, after which the scripted endpoint closes.

Why this works: a kept connection that ends before a byte of a response does not say that the endpoint failed. Another endpoint still goes first; only if none may serve the call does the same one get it, once, on a new connection, within the route's attempts and the retry budget. Calls that may run once only do not use kept connections, as before.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -87,7 +87,6 @@
     auto find_match(relayed_call const& call, route_match& match) -> result<void>;
     auto choose_service(route_match& match) -> result<void>;
     auto run(relayed_call& call) -> asio::awaitable<void>;
-    auto next_endpoint(relayed_call& call) -> placement;
     auto record_send_outcome(relayed_call const& call, tracked_endpoint& endpoint,
                              send_outcome const& outcome) -> void;
     auto end_unroutable_call(relayed_call& call, error why) -> asio::awaitable<void>;
@@ -99,6 +98,11 @@
         -> asio::awaitable<void>;
     auto retry_budget_for(std::string const& service) -> window_retry_budget&;
 
+    // ---- call_endpoint.cpp
+    auto next_endpoint(relayed_call& call) -> placement;
+    static auto remember_lost_connection(relayed_call& call, tracked_endpoint const& endpoint,
+                                         send_outcome const& outcome) -> void;
+
     // ---- call_log.cpp
     auto record_end(relayed_call const& call, std::string_view outcome, int status, std::string_view reason)
         -> void;
--- a/include/hibiscuswall/serving/endpoint_connection.hpp
+++ b/include/hibiscuswall/serving/endpoint_connection.hpp
@@ -48,6 +48,7 @@
     // Closes the socket, which makes the endpoint cancel the call. Pending operations fail.
     auto close() -> void;
 
+    [[nodiscard]] auto is_open() const -> bool; // false once this process has closed it, also on a timeout
     [[nodiscard]] auto is_reused() const -> bool { return reused_; }
     [[nodiscard]] auto is_usable() -> bool; // open, and no bytes received since its last response
 
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -34,6 +34,9 @@
 
 struct send_failed {    // the call may have run; the caller has received no part of a response
     std::string reason; // for the log and the error response; "silent", "late" and "cut" are fixed values
+    // The connection had carried earlier calls and ended before a byte of the response: the endpoint may have
+    // closed it as idle at the moment at which the call was sent.
+    bool lost_kept_connection = false;
 };
 
 struct send_responded { // complete response, not delivered to the caller yet
@@ -71,10 +74,14 @@
     time_point deadline;          // latest time for the final response
 
     std::set<std::string> tried_endpoints; // ids of endpoints that must not get the call again
-    int send_count = 0;            // send attempts for which a connection to an endpoint was available
-    int run_count = 0;             // sends that ran or may have run
-    bool response_started = false; // the response header was sent to the caller
-    event_splitter events;         // events of the stream, across all endpoints that served it
+    // Id of the one that may have closed a kept connection as idle, or empty. It may get the call on a new
+    // connection if no other endpoint may.
+    std::string endpoint_to_reconnect;
+    bool needs_new_connection = false; // a kept connection was lost, others may be about to close as well
+    int send_count = 0;                // send attempts for which a connection to an endpoint was available
+    int run_count = 0;                 // sends that ran or may have run
+    bool response_started = false;     // the response header was sent to the caller
+    event_splitter events;             // events of the stream, across all endpoints that served it
     // Error response of an endpoint, delivered if no retry succeeds.
     std::optional<send_responded> fallback_response;
     time_point first_event_at;        // zero if there is none yet
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -172,26 +172,6 @@
     return success();
 }
 
-auto call_relay::next_endpoint(relayed_call& call) -> placement
-{
-    auto placement_request = placement_call{};
-    placement_request.service = call.service->name;
-    placement_request.definition = call.service;
-    placement_request.route_regions = call.route->regions;
-    if (call.account != nullptr) placement_request.account_regions = call.account->regions;
-    placement_request.tried_endpoints = &call.tried_endpoints;
-    auto const now = clock::now();
-    placement_request.prompt_tokens = call.fields.prompt_tokens;
-    placement_request.region = region_;
-    placement_request.is_first_search = !std::exchange(call.is_counted_as_demand, true);
-    if (call.service->engine)
-        placement_request.min_version = declared_state_.min_version(call.service->engine->model, now);
-    auto const candidates = endpoints_.endpoints_of_service(call.service->name);
-    auto decision = place(placement_request, candidates, declared_state_.out_of_service(),
-                          settings_.placement, now, random_);
-    return admit_by_priority(call, std::move(decision), now);
-}
-
 auto call_relay::run(relayed_call& call) -> asio::awaitable<void>
 {
     while (!call.caller_disconnected) {
@@ -226,6 +206,7 @@
         stop_seeking_replacement(call);
         release_slot(call);
         call.tried_endpoints.insert(endpoint->record.id);
+        remember_lost_connection(call, *endpoint, outcome);
         if (call.caller_disconnected) break;
         record_send_outcome(call, *endpoint, outcome);
         if (co_await end_after_lost_connection(call, endpoint, outcome)) co_return;
--- a/src/serving/endpoint_connection.cpp
+++ b/src/serving/endpoint_connection.cpp
@@ -54,9 +54,11 @@
     stream_.socket().close(ignored);
 }
 
+auto endpoint_connection::is_open() const -> bool { return stream_.socket().is_open(); }
+
 auto endpoint_connection::is_usable() -> bool
 {
-    if (!stream_.socket().is_open()) return false;
+    if (!is_open()) return false;
     auto byte = char{};
     auto code = boost::system::error_code{};
     stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -110,7 +110,9 @@
     // the call ran. Only retryable calls use pooled connections, and only with an id: without one, their
     // response could not be told from a late one.
     auto connection = endpoint_connection_ptr{};
-    if (call.route->is_retryable() && !call.fields.call_id.empty()) connection = pool_.take(record.id, now);
+    auto const may_be_kept =
+        call.route->is_retryable() && !call.fields.call_id.empty() && !call.needs_new_connection;
+    if (may_be_kept) connection = pool_.take(record.id, now);
     if (connection == nullptr) {
         auto const timeout = std::min(settings_.connect_timeout,
                                       std::chrono::duration_cast<milliseconds>(call.deadline - now));
@@ -179,9 +181,11 @@
                 if (call.closed_as_stalled) co_return send_failed{"silent"};
                 if (connection->end() == connection_end::timed_out) co_return send_failed{"late"};
                 parser.end_of_input(connection->end() == connection_end::closed);
+                if (parser.state() == response_state::invalid && parser.has_received_bytes())
+                    co_return send_failed{"cut"};
                 if (parser.state() == response_state::invalid)
-                    co_return send_failed{
-                        parser.has_received_bytes() ? "cut" : connection_end_text(connection->end())};
+                    co_return send_failed{connection_end_text(connection->end()),
+                                          connection->is_reused() && connection->is_open()};
                 break;
             }
             auto const had_head = parser.has_head();
--- a/tests/integration/truncated_responses_test.cpp
+++ b/tests/integration/truncated_responses_test.cpp
@@ -1,5 +1,7 @@
 // Responses whose connection ends at any byte: which of them count as complete. The real entry program with
 // scripted endpoints.
+#include <set>
+
 #include "support/direct_entry_base.hpp"
 
 using namespace hibiscuswall;
@@ -69,7 +71,8 @@
     {
         for (sent_bytes = 0; sent_bytes <= response_bytes; ++sent_bytes) {
             check(ask_partial(path, "POST"));
-            CHECK_EQUAL_TEXT(200, ask("/read/a").status, position_text().c_str());
+            auto const sound = ask("/read/a");
+            CHECK_EQUAL_TEXT(200, sound.status, (position_text() + ", sound call: " + sound.body).c_str());
         }
     }
 
@@ -78,14 +81,21 @@
         return std::to_string(sent_bytes) + " of " + std::to_string(response_bytes) + " bytes";
     }
 
+    // Names the entry's own reason, too: an error response says why a call failed.
+    auto text_of(partial_response const& response)->std::string
+    {
+        return position_text() + ", status " + std::to_string(response.status) +
+               (response.complete ? ", complete: " : ", truncated: ") + response.body;
+    }
+
     auto check_plain(framing frame, bool reset, std::string const& protocol = "HTTP/1.1")->void
     {
         respond_truncated(body_of_call, frame, "", reset, protocol);
         check_each_length("/book/a", [&](partial_response const& response) {
             auto const is_complete = frame == framing::connection ? !reset && sent_bytes >= header_bytes
                                                                   : sent_bytes == response_bytes;
-            CHECK_TEXT((response.status == 200) == is_complete, position_text().c_str());
-            CHECK_TEXT(response.complete, position_text().c_str()); // an error response is complete, too
+            CHECK_TEXT((response.status == 200) == is_complete, text_of(response).c_str());
+            CHECK_TEXT(response.complete, text_of(response).c_str()); // an error response is complete, too
             if (!is_complete) return;
             auto const arrived = body_of_call.substr(0, sent_bytes - header_bytes);
             STRCMP_EQUAL(frame == framing::connection ? arrived.c_str() : body_of_call.c_str(),
@@ -103,14 +113,14 @@
             auto const is_complete =
                 frame == framing::connection ? !reset && is_between_events : sent_bytes == response_bytes;
             if (response.status == 200)
-                CHECK_TEXT(response.complete == is_complete, position_text().c_str());
+                CHECK_TEXT(response.complete == is_complete, text_of(response).c_str());
             else
-                CHECK_TEXT(!is_complete, position_text().c_str());
+                CHECK_TEXT(!is_complete, text_of(response).c_str());
             // Only complete events reach the caller.
             auto const events = response.status == 200 ? response.body : std::string{};
             CHECK_TEXT(events.empty() || events == body_of_stream.substr(0, 15) || events == body_of_stream,
-                       position_text().c_str());
-            if (is_complete) CHECK_TEXT(!events.empty(), position_text().c_str());
+                       text_of(response).c_str());
+            if (is_complete) CHECK_TEXT(!events.empty(), text_of(response).c_str());
         });
     }
 };
@@ -223,3 +233,52 @@
         STRCMP_EQUAL("ok", ask("/read/a").body.c_str());
     CHECK_EQUAL(3U, endpoint->connections());
 }
+
+// ---- kept connections that their endpoint closes as the next call is sent
+
+// Answers the first call on each connection, and closes the connection when a second one arrives: as if it
+// had closed an idle connection at the moment at which the call was sent.
+auto answer_once_per_connection(scripted_request const& request) -> scripted_response
+{
+    if (request.number_on_connection == 1) return {signed_ok(request, "sound")};
+    return {"", true};
+}
+
+// Guards against a call that fails at the only endpoint although a new connection to it would carry the call.
+TEST(truncated_responses, a_call_whose_kept_connection_was_closed_is_sent_again_on_a_new_one)
+{
+    endpoint = std::make_unique<scripted_endpoint>(answer_once_per_connection);
+    start_entry_with({endpoint.get()});
+    for (auto i = 0; i < 3; ++i) {
+        auto const response = ask("/read/a");
+        CHECK_EQUAL_TEXT(200, response.status, response.body.c_str());
+    }
+    CHECK_EQUAL(3U, endpoint->connections());
+}
+
+// Guards against a second send to an endpoint that may have failed, while another one can take the call.
+TEST(truncated_responses, a_call_whose_kept_connection_was_closed_goes_to_another_endpoint_if_there_is_one)
+{
+    endpoint = std::make_unique<scripted_endpoint>(answer_once_per_connection);
+    auto sound = scripted_endpoint{
+        [](auto const& request) -> scripted_response { return {signed_ok(request, "sound")}; }};
+    start_entry_with({endpoint.get(), &sound});
+    for (auto i = 0; i < 20; ++i)
+        CHECK_EQUAL(200, ask("/read/a").status);
+    auto unanswered = std::set<std::string>{};
+    for (auto const& each : endpoint->requests()) {
+        auto const id = each.header("x-hibiscuswall-attempt-id");
+        CHECK_FALSE(unanswered.contains(id));
+        if (each.number_on_connection > 1) unanswered.insert(id);
+    }
+    CHECK_FALSE(unanswered.empty());
+}
+
+// Guards against a call that is sent again and again to an endpoint that closes every connection.
+TEST(truncated_responses, a_call_whose_new_connection_was_closed_is_not_sent_to_that_endpoint_again)
+{
+    endpoint = std::make_unique<scripted_endpoint>([](auto const&) { return scripted_response{"", true}; });
+    start_entry_with({endpoint.get()});
+    CHECK_EQUAL(504, ask("/read/a").status);
+    CHECK_EQUAL(1U, endpoint->requests().size());
+}
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -133,7 +133,7 @@
 auto scripted_endpoint::serve(int socket) -> void
 {
     auto buffer = std::string{};
-    while (!stopping_) {
+    for (auto number = 1; !stopping_; ++number) {
         auto end = buffer.find("\r\n\r\n");
         while (end == std::string::npos) {
             if (!receive_more(socket, buffer)) {
@@ -143,6 +143,7 @@
             end = buffer.find("\r\n\r\n");
         }
         auto request = parse_head(buffer.substr(0, end));
+        request.number_on_connection = number;
         buffer.erase(0, end + 4);
         auto const size = static_cast<std::size_t>(std::atoi(request.header("content-length").c_str()));
         while (buffer.size() < size)
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -22,6 +22,7 @@
     std::string line;                           // request line: method, target, protocol
     std::map<std::string, std::string> headers; // names in lower case
     std::string body;
+    int number_on_connection = 1; // 2 or more: on a connection that was kept
 
     [[nodiscard]] auto header(std::string const& name) const -> std::string
     {
