--- a/tests/integration/named_limits_test.cpp
+++ b/tests/integration/named_limits_test.cpp
@@ -99,12 +99,13 @@
     static auto check_limit(arrival_log const& arrivals, double limit)->void
     {
         auto const most = arrivals.most_within(window, arrivals.first() + time_to_comply);
-        if (most > allowed_within_window(limit))
-            FAIL(("calls within 4 s: " + std::to_string(most) + ", allowed " +
-                  std::to_string(allowed_within_window(limit)))
-                     .c_str());
         auto const from = arrivals.first() + time_to_comply + seconds{1};
-        CHECK(arrivals.count(from, from + window) >= least_used * limit * window.count());
+        auto const used = arrivals.count(from, from + window);
+        auto const text = "most calls within 4 s " + std::to_string(most) + ", allowed " +
+                          std::to_string(allowed_within_window(limit)) + ", calls from 4 s to 8 s " +
+                          std::to_string(used) + ", arrivals in ms: " + arrivals.text();
+        CHECK_TEXT(most <= allowed_within_window(limit), text.c_str());
+        CHECK_TEXT(used >= least_used * limit * window.count(), text.c_str());
     }
 
     static auto answering(arrival_log & arrivals, double limit)->scripted_endpoint::respond_function
--- a/tests/support/arrival_log.hpp
+++ b/tests/support/arrival_log.hpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <deque>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace hibiscuswall {
@@ -52,6 +53,16 @@
         return static_cast<int>(most);
     }
 
+    // The arrivals after the first one, in milliseconds, for the message of a failed check.
+    [[nodiscard]] auto text() const -> std::string
+    {
+        auto const guard = std::lock_guard{lock_};
+        auto text = std::string{};
+        for (auto const at : times_)
+            text += std::to_string((at - times_.front()) / milliseconds{1}) + " ";
+        return text;
+    }
+
 private:
     mutable std::mutex lock_;
     std::vector<time_point> times_;
