Take calls to limited endpoints evenly, not each by chance

Cause: each call was taken with the probability granted / arriving, by a draw of its own, and needed a granted call on top. Calls taken by chance are a Poisson process: of 12 in 4 s, five or fewer come in 2 of 100 windows, while the store of granted calls is full and what is granted beyond it is lost.

Why this works: one call is taken from each run of calls whose fractions sum up to one, at a random place in it. The mean is as before, so are priorities; a window of 4 s differs by two calls at most. A fixed place would let callers that come in turns always win or always lose.

Test: rate_limit_rejections.calls_are_taken_evenly_at_the_rate_that_is_granted, no network: with the draws of before 3 calls in 4 s where 6 are granted (and 8, in other windows); now within two.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -110,7 +110,7 @@
 
     // ---- call_limits.cpp
     [[nodiscard]] auto priority_of(relayed_call const& call) const -> int;
-    auto admit_by_priority(relayed_call const& call, placement decision, time_point now) -> placement;
+    auto admit_by_priority(relayed_call& call, placement decision, time_point now) -> placement;
     auto retry_after(relayed_call const& call, rejected const& rejection, time_point now) -> milliseconds;
     auto may_be_written(relayed_call& call, time_point now) -> bool;
     auto record_announcements(relayed_call const& call, class endpoint_response_parser const& parser,
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -91,7 +91,7 @@
     // ---- waiting for an endpoint
     bool shed = false; // the call is among those to be shed; it is sent only if enough slots are free
     bool is_counted_as_demand = false; // an endpoint was searched for before
-    double admission_draw = 0;         // from 0 to 1; a low one is sent first, see serving/priority_admission
+    std::optional<bool> is_taken;      // decided once, where all endpoints limit their calls
     waiter queue_entry;                // priority and deadline in the wait queue
     clock_timer* wait_timer = nullptr; // cancelled once a slot is reserved; null while not waiting
     milliseconds wait_duration{0};     // total time spent waiting
--- a/src/serving/call_limits.cpp
+++ b/src/serving/call_limits.cpp
@@ -53,13 +53,14 @@
 }
 
 // Where all endpoints of a service limit the calls that they take, the more urgent calls are sent first.
-auto call_relay::admit_by_priority(relayed_call const& call, placement decision, time_point now) -> placement
+auto call_relay::admit_by_priority(relayed_call& call, placement decision, time_point now) -> placement
 {
     auto const* found = std::get_if<placed>(&decision);
     if (found == nullptr || found->limited_rate <= 0 || call.send_count > 0) return decision;
-    auto& admission = admissions_[call.service->name];
-    if (call.admission_draw < admission.fraction(priority_of(call), found->limited_rate, now))
-        return decision;
+    if (!call.is_taken)
+        call.is_taken =
+            admissions_[call.service->name].take(priority_of(call), found->limited_rate, now, random_);
+    if (*call.is_taken) return decision;
     auto rejection = rejected{};
     rejection.reason = rejection_reason::all_endpoints_limited;
     rejection.usable = found->usable;
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -104,7 +104,6 @@
     call.deadline = std::min({call.deadline, call.arrived_at + call.route->timeout, latest_deadline_});
     retry_budget_for(call.service->name).on_call(call.read_at);
     set_shed_decision(call);
-    call.admission_draw = random_.fraction();
     admissions_[call.service->name].on_call(priority_of(call), call.read_at);
     auto const registration = registered_call{*this, call};
     out.on_disconnect([&call] {
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -7,6 +7,8 @@
 #include "hibiscuswall/serving/retry_schedule.hpp"
 #include "platform/call_headers.hpp"
 
+#include "support/arrival_log.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hibiscuswall;
@@ -229,6 +231,37 @@
     DOUBLES_EQUAL(1.0, admission.fraction(3, 100, now), 0.01);
 }
 
+// Guards against calls that are taken by chance: over a few seconds far fewer than the endpoint takes, while
+// callers are rejected, and then more than it takes.
+TEST(rate_limit_rejections, calls_are_taken_evenly_at_the_rate_that_is_granted)
+{
+    struct arrival_case {
+        int urgent_each; // one urgent call for so many other ones; 0: none
+        double calls_per_second;
+        int taken_in_4_s;
+    };
+    for (auto const& [urgent_each, rate, expected] :
+         {arrival_case{0, 1.5, 6}, arrival_case{0, 3.0, 12}, arrival_case{10, 3.0, 7}}) {
+        auto now = time_point{seconds{1'000}};
+        auto admission = priority_admission{};
+        auto random = random_source{1};
+        auto taken = arrival_log{};
+        for (auto i = 0; i < 1'250; ++i) { // 12.5 a second for 100 s
+            now += milliseconds{80};
+            if (urgent_each > 0 && i % urgent_each == 0) admission.on_call(0, now);
+            admission.on_call(3, now);
+            if (admission.take(3, rate, now, random)) taken.add(now);
+        }
+        for (auto from = time_point{seconds{1'004}}; from < now - seconds{4}; from += milliseconds{100}) {
+            auto const count = taken.count(from, from + seconds{4});
+            // The first and the last run may have their calls outside of these 4 s.
+            CHECK_TEXT(
+                count >= expected - 2 && count <= expected + 2,
+                (std::to_string(count) + " calls in 4 s at " + std::to_string(rate) + " a second").c_str());
+        }
+    }
+}
+
 // Guards against rejected callers that all come back at the same time.
 TEST(rate_limit_rejections, callers_are_told_to_return_at_the_rate_that_is_taken)
 {
