Let agents take the list of agents from an entry, not from the store

Cause: every agent read the records of all endpoints from the store when new weights were declared (and again each second while it looked for the manifest).

Ruled out by logs: a configuration on the link as the beginning (it is applied late itself, 35 at the same moment in four regions); transfers of weights (the origin can have sent no more than 3.7 MB by then); ranges of endpoints read by entries (a trial that halved them changed nothing: DRAIN 3).

Why this works: entries follow these records anyway. An agent asks an entry that subscribes to it, of its own region first, a different one for each agent: 3 to 4 kB in place of 130, over no link between regions. The store is read if two entries tell none.

--- a/include/hibiscuswall/fleet/agent_directory.hpp
+++ b/include/hibiscuswall/fleet/agent_directory.hpp
@@ -1,14 +1,17 @@
 #pragma once
-// Lists the agents of this process's service, derived from the endpoint records in the platform's store. The
-// store is read only on refresh(), because agents contact each other only during weight transfers.
+// Lists the agents of this process's service, as an entry tells them, or derived from the endpoint records in
+// the platform's store if no entry does. It is read only on refresh(), because agents contact each other only
+// during weight transfers.
 //
-//   co_await directory.refresh(clock::now());        // reads the store at most once a second
+//   auto directory = agent_directory{client, store, self, regions, [&] { return loads.entries(); }};
+//   co_await directory.refresh(clock::now());        // reads at most once a second
 //   for (auto const& agent : directory.agents()) ...
 
+#include "hibiscuswall/fleet/agent_list.hpp"
 #include "hibiscuswall/membership/member.hpp"
-#include "hibiscuswall/serving/endpoint_record.hpp"
 #include "platform/key_value_client.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,13 +20,16 @@
 
 class agent_directory {
 public:
-    agent_directory(key_value_client& store, member const& self,
-                    std::map<std::string, std::string, std::less<>> regions)
-        : store_{store}, self_{self}, regions_{std::move(regions)}
+    // `entries` returns the peer addresses of the entries to ask, in order.
+    agent_directory(http_client& client, key_value_client& store, member const& self,
+                    std::map<std::string, std::string, std::less<>> regions,
+                    std::function<std::vector<address>()> entries)
+        : client_{client}, store_{store}, self_{self}, regions_{std::move(regions)}, entries_{
+                                                                                         std::move(entries)}
     {
     }
 
-    // Keeps the previous list if the store is unavailable; the next call then reads again.
+    // Keeps the previous list if neither an entry nor the store tells one; the next call then reads again.
     auto refresh(time_point now) -> asio::awaitable<void>;
 
     // Each agent is named by its engine's IP address and listed once. Includes this process once it is
@@ -41,11 +47,15 @@
     [[nodiscard]] auto rank(std::string_view subject) const -> double;
 
 private:
-    auto add_agent(endpoint_record const& record) -> void;
+    auto ask_entries() -> asio::awaitable<result<std::vector<listed_agent>>>;
+    auto read_store() -> asio::awaitable<result<std::vector<listed_agent>>>;
+    auto add_agent(listed_agent const& listed) -> void;
 
+    http_client& client_;
     key_value_client& store_;
     member const& self_;
     std::map<std::string, std::string, std::less<>> regions_;
+    std::function<std::vector<address>()> entries_;
     std::vector<member> agents_;
     mutable std::map<std::string, double, std::less<>> ranks_; // by subject, valid for agents_
     std::uint64_t generation_ = 0;
--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -126,6 +126,10 @@
     // one is known; preferably in the same region.
     [[nodiscard]] auto newer_peer() const -> std::optional<address>;
 
+    // Peer addresses of the entries that subscribe to this agent: those of its own region first, in an order
+    // that differs between agents.
+    [[nodiscard]] auto entries() const -> std::vector<address>;
+
 private:
     struct subscriber {
         time_point received_at; // when the latest subscription arrived
--- a/src/daemon/direct_agent.cpp
+++ b/src/daemon/direct_agent.cpp
@@ -66,8 +66,9 @@
           declarations{store, base.context().random, declared, base.pauses()},
           exchange{base.context(), declared, operator_scope::weights,
                    [this] { return declarations.complete_until(); }, [this] { return loads.newer_peer(); }},
-          directory{store, base.context().self, settings.regions}, keeper{base.context(), declared, directory,
-                                                                          loads, keeper_settings(settings)}
+          directory{base.context().client, store, base.context().self, settings.regions,
+                    [this] { return loads.entries(); }},
+          keeper{base.context(), declared, directory, loads, keeper_settings(settings)}
     {
         base.ready_when([this] { return declared.map() != nullptr && keeper.serves_newest_version(); });
     }
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -1,6 +1,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/daemon/daemon_base.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
+#include "hibiscuswall/fleet/agent_list.hpp"
 #include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/entry_directory.hpp"
 #include "hibiscuswall/fleet/entry_registration.hpp"
@@ -115,6 +116,7 @@
         ready_routes.add("*", "/", [this](http_request const& /*request*/, http_responder& out) {
             return answer_ready(out);
         });
+        add_agent_list_route(base.context().control, endpoints, [this] { return has_listing; });
         declared.on_change([this] { on_declared_change(); });
         loads.set_shed_level_source([this] { return relay.shed_level(); });
         loads.set_records_revision_source([this] { return listing.changed_revision(); });
--- a/src/fleet/agent_directory.cpp
+++ b/src/fleet/agent_directory.cpp
@@ -1,6 +1,7 @@
 #include "hibiscuswall/fleet/agent_directory.hpp"
 
 #include "hibiscuswall/core/rendezvous.hpp"
+#include "hibiscuswall/observe/log.hpp"
 #include "platform/endpoint_records.hpp"
 
 #include <algorithm>
@@ -10,34 +11,65 @@
 namespace {
 
 constexpr auto refresh_interval = milliseconds{1'000};
+constexpr auto max_entries_asked = std::size_t{2}; // before the store is read
 
 } // namespace
 
 auto agent_directory::refresh(time_point now) -> asio::awaitable<void>
 {
     if (refreshed_at_ != time_point{} && now - refreshed_at_ < refresh_interval) co_return;
-    auto const found = co_await store_.range(std::string{platform::endpoint_prefix}, true);
+    auto found = co_await ask_entries();
+    auto const is_told = found.has_value();
+    if (!is_told) found = co_await read_store();
     if (!found) co_return;
     refreshed_at_ = now;
     agents_.clear();
     ranks_.clear();
     ++generation_;
+    for (auto const& listed : found.value())
+        add_agent(listed);
+    log_event(log_level::info, "agents_listed",
+              {{"agents", std::to_string(agents_.size())},
+               {"source", is_told ? "entry" : "store"},
+               {"after_ms", milliseconds_text(clock::now() - now)}});
+}
+
+auto agent_directory::ask_entries() -> asio::awaitable<result<std::vector<listed_agent>>>
+{
+    auto found = result<std::vector<listed_agent>>{fail(result_code::store_unavailable, "no entry is known")};
+    auto const entries = entries_();
+    for (auto i = std::size_t{0}; i < std::min(max_entries_asked, entries.size()) && !found; ++i) {
+        found = co_await fetch_agent_list(client_, entries[i], self_.service);
+        if (!found)
+            log_event(log_level::info, "agents_not_told",
+                      {{"entry", entries[i].text()}, {"reason", found.error().message}});
+    }
+    co_return found;
+}
+
+auto agent_directory::read_store() -> asio::awaitable<result<std::vector<listed_agent>>>
+{
+    auto const found = co_await store_.range(std::string{platform::endpoint_prefix}, true);
+    if (!found) co_return found.error();
+    auto agents = std::vector<listed_agent>{};
     auto addresses = std::set<std::string, std::less<>>{};
     for (auto const& item : found.value().items) {
         auto const record = platform::decode_endpoint(item.key, item.value);
+        if (!record || record.value().service != self_.service) continue;
         // After a loss of power, the record of an engine's former run remains until its lease ends.
-        if (record && addresses.insert(record.value().where.ip).second) add_agent(record.value());
+        if (addresses.insert(record.value().where.ip).second)
+            agents.push_back({record.value().where.ip, record.value().failure_domain});
     }
+    co_return agents;
 }
 
-auto agent_directory::add_agent(endpoint_record const& record) -> void
+auto agent_directory::add_agent(listed_agent const& listed) -> void
 {
-    if (record.service != self_.service) return;
     auto agent = member{};
-    agent.name = record.where.ip;
-    agent.control_address = {record.where.ip, self_.control_address.port};
-    agent.failure_domain = record.failure_domain;
-    agent.region = region_of(record.failure_domain);
+    agent.name = listed.ip;
+    agent.control_address = {listed.ip, self_.control_address.port};
+    agent.failure_domain = listed.failure_domain;
+    agent.region = region_of(listed.failure_domain);
     agents_.push_back(std::move(agent));
 }
 
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/fleet/load_report_channel.hpp"
 
+#include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <tuple>
 
 namespace hibiscuswall {
 namespace {
@@ -213,6 +215,26 @@
     return found;
 }
 
+auto load_report_sender::entries() const -> std::vector<address>
+{
+    struct ranked_entry {
+        bool is_elsewhere = false;
+        std::uint64_t weight = 0;
+        address where;
+    };
+    auto ranked = std::vector<ranked_entry>{};
+    for (auto const& [from, entry] : subscribers_)
+        ranked.push_back({entry.latest.region != self_.region,
+                          rendezvous_weight(self_.name, entry.latest.entry), to_address(from)});
+    std::sort(ranked.begin(), ranked.end(), [](auto const& left, auto const& right) {
+        return std::tie(left.is_elsewhere, left.weight) < std::tie(right.is_elsewhere, right.weight);
+    });
+    auto found = std::vector<address>{};
+    for (auto& each : ranked)
+        found.push_back(std::move(each.where));
+    return found;
+}
+
 // Entries fetch operator changes from each other if the store is unavailable. The agent only names the entry
 // with the newest revision, preferably one of its own region.
 auto load_report_sender::set_most_current_peer(load_report& report) const -> void
--- a/tests/support/weights_fleet.hpp
+++ b/tests/support/weights_fleet.hpp
@@ -258,7 +258,8 @@
     key_value_client kv{client, {store.where}, milliseconds{500}};
     declared_state declared{{}};
     load_report_sender loads{io, context.self, declared};
-    agent_directory directory{kv, context.self, {{"north-a", "north"}}};
+    agent_directory directory{
+        client, kv, context.self, {{"north-a", "north"}}, [] { return std::vector<address>{}; }};
     engine_weights_controller controller{context, declared, directory, loads, settings_for(engine_address)};
 };
 
