Do not let a region wait for agents that are silent

Cause: of each chunk, one agent of a region, chosen by rendezvous hashing, fetches it from another region; the others take over once it is unreachable or makes no progress. Agents tell each other what they hold and are not polled, so an agent that is cut off, or gone and still listed, is neither: it never reports, and a host without reports did not count as inactive.

Why this works: an agent is inactive also if it has been silent for two progress deadlines while the others of the region have reported about twice each, which they do in turn. The rule against a host that hears nobody by its own fault stays: then nobody reports (missing_reports_alone_do_not_make_a_host_inactive). Silence that is taken wrongly costs one chunk of 32 kB, fetched twice.

Tests, no network: chunk_plan.a_host_that_is_silent_while_the_others_report_is_inactive and chunk_plan_regions.a_region_ does_not_wait_for_silent_hosts (60 hosts, three cut off: 62 of 64 chunks reached the region before, 64 now, each once) failed before.

--- a/include/hibiscuswall/weights/chunk_plan.hpp
+++ b/include/hibiscuswall/weights/chunk_plan.hpp
@@ -10,8 +10,8 @@
 //
 // Rendezvous hashing ranks the hosts for each chunk. The first host fetches the chunk from the weight store
 // or the origin (source fetch). The hosts ranked after it take over in order once all hosts before them are
-// unreachable or make no progress. All other hosts fetch the chunk from peers, the chunk with the fewest
-// known holders first.
+// unreachable, make no progress, or are silent while the other hosts of the region report. All other hosts
+// fetch the chunk from peers, the chunk with the fewest known holders first.
 //
 // Hosts of other regions may take part. If no host of the local region holds a chunk, only one host of the
 // region, chosen by the same hashing, fetches it from another region; the others wait for that host. Source
@@ -130,9 +130,10 @@
         bool has_reported = false;
         bool unreachable = false;
         bool counted_as_holder = false; // its chunks are included in the holder counts
-        time_point last_report_at;
+        time_point last_report_at;      // of a host that has not reported: when it was added
         time_point last_progress_at;
-        time_point retry_after; // not asked until then, because it was busy or unreachable
+        std::size_t region_reports_at_last = 0; // region_reports_ at that time
+        time_point retry_after;                 // not asked until then, because it was busy or unreachable
         time_point avoid_until; // not asked until then, because it sent a corrupt or stalled chunk
     };
     struct chunk_state {
@@ -146,6 +147,7 @@
     };
 
     [[nodiscard]] auto is_inactive(std::string const& host, time_point now) const -> bool;
+    [[nodiscard]] auto is_silent(peer_state const& peer, time_point now) const -> bool;
     [[nodiscard]] auto is_first_active(std::vector<std::string> const& ranking, time_point now) const -> bool;
     [[nodiscard]] auto may_fetch_from_source(chunk_state const& chunk, time_point now) const -> bool;
     [[nodiscard]] auto may_fetch_cross_region(chunk_state const& chunk, time_point now) const -> bool;
@@ -162,6 +164,8 @@
     std::map<std::string, peer_state, std::less<>> peers_;
     std::vector<plan_host> hosts_;   // sorted by name
     bool is_source_fetcher_ = false; // of the local host
+    std::size_t region_peers_ = 0;   // live peers of the local region
+    std::size_t region_reports_ = 0; // received from peers of the local region
     std::size_t held_count_ = 0;
     std::size_t in_flight_ = 0;
     std::size_t source_fetches_ = 0;
--- a/src/weights/chunk_plan.cpp
+++ b/src/weights/chunk_plan.cpp
@@ -11,6 +11,10 @@
 // Hosts kept in a chunk's ranking: the one that fetches it from the source and those that may take over.
 constexpr auto max_ranked_hosts = std::size_t{12};
 
+// Hosts report to each other in turn. One is silent if each of the others has reported about this often since
+// it last did, for this many progress deadlines at least.
+constexpr auto silent_rounds = std::size_t{2};
+
 } // namespace
 
 chunk_plan::chunk_plan(std::span<chunk_entry const> chunks, std::string self, chunk_plan_settings settings,
@@ -41,6 +45,7 @@
     };
     if (std::equal(hosts.begin(), hosts.end(), hosts_.begin(), hosts_.end(), same)) return;
     hosts_ = std::move(hosts);
+    region_peers_ = 0;
     for (auto& [name, peer] : peers_)
         peer.live = false;
     count_holders(now); // while the peers still have the regions by which they were counted
@@ -57,10 +62,12 @@
         auto& peer = entry->second;
         peer.live = true;
         peer.same_region = host.same_region;
+        region_peers_ += peer.same_region ? 1 : 0;
         if (!added) continue;
         peer.has_chunk.resize(chunks_.size());
         peer.last_report_at = now;
         peer.last_progress_at = now;
+        peer.region_reports_at_last = region_reports_;
     }
     for (auto& chunk : chunks_) {
         chunk.ranking = rendezvous_rank(chunk.digest, source_fetchers);
@@ -116,6 +123,8 @@
     peer.has_reported = true;
     peer.unreachable = false;
     peer.last_report_at = now;
+    region_reports_ += peer.same_region ? 1 : 0;
+    peer.region_reports_at_last = region_reports_;
 }
 
 auto chunk_plan::on_peer_unreachable(std::string_view name, time_point now) -> void
@@ -139,10 +148,19 @@
     if (entry == peers_.end()) return true;
     auto const& peer = entry->second;
     if (!peer.live || peer.unreachable || peer.avoid_until > now) return true;
-    // Only received reports count: without reports, the fault may be on the side of this host.
+    if (is_silent(peer, now)) return true;
     return peer.has_reported && peer.last_report_at - peer.last_progress_at > settings_.progress_deadline;
 }
 
+// Silence counts only while others of the region report: without any report, the fault may be on the side of
+// this host.
+auto chunk_plan::is_silent(peer_state const& peer, time_point now) const -> bool
+{
+    return peer.same_region &&
+           region_reports_ - peer.region_reports_at_last > silent_rounds * region_peers_ &&
+           now - peer.last_report_at > silent_rounds * settings_.progress_deadline;
+}
+
 // Whether every host before the local one in the ranking is inactive.
 auto chunk_plan::is_first_active(std::vector<std::string> const& ranking, time_point now) const -> bool
 {
--- a/tests/unit/weights_plan_test.cpp
+++ b/tests/unit/weights_plan_test.cpp
@@ -4,8 +4,7 @@
 #include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/weights/chunk_plan.hpp"
 
-#include <set>
-
+#include <map>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -47,6 +46,17 @@
         return plan;
     }
 
+    // Whether the chunk is among those that the host may fetch from the source now.
+    auto fetches_from_source(chunk_plan plan, std::size_t chunk)->bool
+    {
+        while (auto const fetch = plan.next(now, random)) {
+            if (fetch->chunk == chunk) return fetch->from_source();
+            plan.on_fetch_ended(*fetch);
+            plan.on_chunk_verified(fetch->chunk);
+        }
+        return false;
+    }
+
     // The host at this position of the first chunk's ranking.
     auto ranked(std::size_t position)->std::string
     {
@@ -109,6 +119,35 @@
     CHECK(!second_ranked.next(now, random).has_value());
 }
 
+// Guards against a chunk that no host fetches because its first-ranked host was cut off, before it reported
+// anything or later.
+TEST(chunk_plan, a_host_that_is_silent_while_the_others_report_is_inactive)
+{
+    chunks = make_chunks(40);
+    for (auto const has_reported : {false, true}) {
+        auto second_ranked = plan_of(ranked(1));
+        auto third_ranked = plan_of(ranked(2));
+        auto held = std::vector<bool>(chunks.size()); // of the hosts that report; all but the first chunk
+        auto const report = [&](chunk_plan& plan, std::size_t position) {
+            plan.on_peer_holdings(ranked(position), held, now);
+        };
+        if (has_reported) report(second_ranked, 0);
+        if (has_reported) report(third_ranked, 0);
+        auto const silent_since = now;
+        for (auto i = std::size_t{1}; now - silent_since <= 2 * settings.progress_deadline; ++i) {
+            CHECK_FALSE(fetches_from_source(second_ranked, 0));
+            now += settings.progress_deadline / 4;
+            held[i] = true;
+            report(second_ranked, 2);
+            report(second_ranked, 3);
+            report(third_ranked, 1);
+            report(third_ranked, 3);
+        }
+        CHECK(fetches_from_source(second_ranked, 0));
+        CHECK_FALSE(fetches_from_source(third_ranked, 0));
+    }
+}
+
 // Guards against a restarted host that fetches from the source what its region already holds.
 TEST(chunk_plan, restarted_first_ranked_host_fetches_from_a_peer_that_holds_the_chunk)
 {
@@ -337,6 +376,49 @@
     CHECK_EQUAL(64, cross_region_fetches);
 }
 
+// Three of sixty hosts of a region are cut off. Guards against chunks that never reach the region because all
+// others wait for these three to fetch them from another region.
+TEST(chunk_plan_regions, a_region_does_not_wait_for_silent_hosts)
+{
+    auto names = std::vector<std::string>{};
+    for (auto i = 0; i < 60; ++i)
+        names.push_back("s" + std::to_string(100 + i));
+    auto const cut_off = std::set<std::string>{names[7], names[20], names[41]};
+    auto hosts = std::vector<plan_host>{{"n1", false, true}};
+    for (auto const& name : names)
+        hosts.push_back({name, true, false});
+    auto plans = std::map<std::string, chunk_plan>{};
+    for (auto const& name : names) {
+        if (cut_off.contains(name)) continue;
+        auto& plan = plans.try_emplace(name, chunks, name, chunk_plan_settings{}, now).first->second;
+        plan.set_hosts(hosts, now);
+        plan.on_peer_holdings("n1", std::vector<bool>(chunks.size(), true), now);
+    }
+    auto crossed = std::multiset<std::size_t>{}; // chunks that a host fetched from another region
+    auto const fetch_what_is_due = [&] {
+        for (auto& [name, plan] : plans)
+            while (auto const fetch = plan.next(now, random)) {
+                plan.on_fetch_ended(*fetch);
+                plan.on_chunk_verified(fetch->chunk);
+                if (fetch->peer == "n1") crossed.insert(fetch->chunk);
+            }
+    };
+    fetch_what_is_due();
+    auto const at_once = std::vector<std::size_t>{crossed.begin(), crossed.end()};
+    CHECK(at_once.size() < chunks.size());
+    auto held = std::vector<bool>(chunks.size()); // of each host, a little more each time
+    for (auto round = std::size_t{0}; round < 10; ++round) {
+        now += milliseconds{800};
+        held[at_once[round]] = true;
+        for (auto& [name, plan] : plans)
+            for (auto const& [other, unused] : plans)
+                if (other != name) plan.on_peer_holdings(other, held, now);
+        fetch_what_is_due();
+    }
+    UNSIGNED_LONGS_EQUAL(chunks.size(), crossed.size()); // each once
+    UNSIGNED_LONGS_EQUAL(chunks.size(), (std::set<std::size_t>{crossed.begin(), crossed.end()}.size()));
+}
+
 // Source fetchers tell these hosts what they hold. Guards against telling others than those that wait for it.
 TEST(chunk_plan_regions, the_host_that_fetches_a_chunk_into_its_region_is_known_to_all)
 {
