Tell how late an entry is with what operators declared, and log each failed call of a watch

What on-call could not tell: which call to the store an entry waits on and for how long (only the first failure of an outage was logged), and whether the configuration in force is the newest that the entry has heard of.

- store_call_failed: one line for each failed watch or range, with its duration and the number in a row.
- operators_behind, operators_caught_up: the entry has known for a second that others have a newer change, and for how long it had been behind; both revisions, the configuration in force, the store's last confirmation.
- Gauges operators_behind_seconds, operators_confirmed_age_seconds, configuration_version.

--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -75,6 +75,9 @@
     // Newest change of an endpoint's record that any entry is known to have.
     [[nodiscard]] auto peer_records_revision() const -> std::uint64_t { return peer_records_revision_; }
 
+    // Newest operator change that a load report named.
+    [[nodiscard]] auto peer_revision() const -> std::uint64_t { return peer_revision_; }
+
     // Peer address of an entry that knows a newer operator change than this process, if one is known.
     [[nodiscard]] auto newer_peer() const -> std::optional<address>;
 
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -6,6 +6,7 @@
 #include "hibiscuswall/fleet/entry_directory.hpp"
 #include "hibiscuswall/fleet/entry_registration.hpp"
 #include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/operator_lag.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
 #include "hibiscuswall/fleet/quarantine_exchange.hpp"
@@ -34,6 +35,8 @@
 constexpr auto directory_wait = milliseconds{25'000}; // of one watch call; entries change rarely
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
+constexpr auto lag_check_interval = milliseconds{200};
+constexpr auto min_logged_lag = milliseconds{1'000}; // the store's watch usually delivers a change long before
 constexpr auto quarantine_check_interval = milliseconds{1'000};
 // A watch may have missed a change without an error, on a connection that went silent. It has failed so long
 // before a host has to be up to date after a fault of the store: for the next call, and the pause before it.
@@ -65,6 +68,7 @@
     entry_registration registration;
     prefix_watcher directory_watcher;
     operator_sync exchange;
+    operator_lag lag;
     std::map<std::string, std::uint64_t> known_versions; // newest declared weights by model
     bool has_listing = false;                            // endpoints were read once
     int shared_count = 0;      // entries among which endpoints and limits were last shared
@@ -243,6 +247,47 @@
         }
     }
 
+    // Tells how old what operators declared is at this entry, compared with the newest change that it has heard
+    // of.
+    auto run_lag_checks() -> asio::awaitable<void>
+    {
+        auto is_late = false;
+        while (true) {
+            co_await sleep_for(lag_check_interval);
+            auto const now = clock::now();
+            lag.on_heard(loads.peer_revision(), now);
+            auto const was_behind = lag.on_known(declared.revision(), now);
+            auto const behind = lag.behind_for(now);
+            if (!is_late && behind >= min_logged_lag) log_lag("operators_behind", behind);
+            if (was_behind && *was_behind >= min_logged_lag) log_lag("operators_caught_up", *was_behind);
+            is_late = behind >= min_logged_lag;
+            set_lag_metrics(behind, now);
+        }
+    }
+
+    auto log_lag(std::string_view event, clock::duration behind) -> void
+    {
+        auto const version = declared.map() == nullptr ? 0 : declared.map()->version();
+        log_event(log_level::warning, event,
+                  {{"behind_ms", milliseconds_text(behind)},
+                   {"version", std::to_string(version)},
+                   {"revision", std::to_string(declared.revision())},
+                   {"newest_revision", std::to_string(lag.newest())},
+                   {"confirmed_ms_ago", milliseconds_text(clock::now() - operators.complete_until())}});
+    }
+
+    auto set_lag_metrics(clock::duration behind, time_point now) -> void
+    {
+        auto& registry = base.context().metrics_registry;
+        auto const in_seconds = [](clock::duration span) {
+            return std::chrono::duration<double>(span).count();
+        };
+        registry.set("operators_behind_seconds", {}, in_seconds(behind));
+        if (declared.map() == nullptr) return;
+        registry.set("configuration_version", {}, static_cast<double>(declared.map()->version()));
+        registry.set("operators_confirmed_age_seconds", {}, in_seconds(now - operators.complete_until()));
+    }
+
     // Old marks of crashes no longer count.
     auto run_quarantine_checks() -> asio::awaitable<void>
     {
@@ -380,6 +425,7 @@
         start("quarantine_exchange", [this] { return quarantine_peers.run(); });
         start("quarantine_store", [this] { return quarantine_storage.run(); });
         start("stall_checks", [this] { return run_stall_checks(); });
+        start("operator_lag", [this] { return run_lag_checks(); });
         start("operator_sync", [this] { return exchange.run(); });
         start("weights_sync", [this] { return exchange.run_weights(); });
         start("rate_limits", [this] { return rate_limits.run(); });
--- a/src/fleet/prefix_watcher.cpp
+++ b/src/fleet/prefix_watcher.cpp
@@ -24,8 +24,10 @@
 auto prefix_watcher::run() -> asio::awaitable<void>
 {
     while (true) {
+        auto const begun_at = clock::now();
+        auto const is_watch = complete_;
         auto outcome = result<void>{success()};
-        if (complete_)
+        if (is_watch)
             outcome = co_await watch_once();
         else
             outcome = co_await read_all();
@@ -35,6 +37,12 @@
             complete_ = false;
             continue;
         }
+        log_event(log_level::info, "store_call_failed",
+                  {{"prefix", prefix_},
+                   {"call", is_watch ? "watch" : "range"},
+                   {"after_ms", milliseconds_text(clock::now() - begun_at)},
+                   {"failures", std::to_string(consecutive_failures_ + 1)},
+                   {"reason", outcome.error().message}});
         co_await on_store_failure(outcome.error());
     }
 }
