Ask again for a page of the store's range that is not answered, and replace a watch that is overdue

Cause: a range could take 3.0 s until it counted as failed, which is all of settle_time_ms, and the next one began after it. A call that the store gets just before it works again, and never answers, so used up the time until the host has to be up to date. All entries make these calls at the same moment, since the change before the fault ended all their watches: no entry knew more than another, and peers could not help.

Class: the silence of one call is waited out before the next is made.

Why this works: a page whose response has not begun after 500 ms is asked for once more on another connection, and what comes first counts (core/hedged.hpp). Both have 800 ms more to begin; a response that pauses for 1.3 s has failed. So a call that is never answered costs 500 ms; if the second was sent too early as well, the next follows 1.8 s after the store works again. The time for a large page as a whole stays. Beside a watch that is 300 ms overdue the range is read; the wait of a watch is what settle_time_ms leaves after that, a range whose first call is lost, and its answer.

--- a/include/hibiscuswall/fleet/prefix_watcher.hpp
+++ b/include/hibiscuswall/fleet/prefix_watcher.hpp
@@ -2,6 +2,7 @@
 // Watches all keys under one prefix of the platform's store. Recovers from store outages, from lost watch
 // history and from a store that came back from an older copy by reading the complete range again. Failures of
 // other calls to the store tell of an outage as well, so that a long watch need not end for it to be noticed.
+// Beside a watch that is overdue the range is read, and what comes first counts.
 //
 //   auto watcher = prefix_watcher{store, random, "config/", settings, {.on_range = ..., .on_change = ...}};
 //   asio::co_spawn(io, watcher.run(), asio::detached);
@@ -14,11 +15,16 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace hibiscuswall {
 
+// How long a watch may wait so that this process is up to date within settle_time of a fault, even if a watch
+// and a call of the range that replaces it are never answered. gather: batch_delay, see below.
+[[nodiscard]] auto watch_wait(milliseconds settle_time, milliseconds gather) -> milliseconds;
+
 struct prefix_watcher_settings {
-    milliseconds wait{2'500}; // of one watch call; a stall is detected this plus the client's timeout later
+    milliseconds wait{1'900}; // of one watch call
     milliseconds short_watch_duration{
         300};                    // of a watch after a failure, while the store may still be unstable
     int short_watch_count = 8;   // watches with short_watch_duration after a failure
@@ -82,8 +88,22 @@
     [[nodiscard]] auto is_unavailable() const -> bool { return consecutive_failures_ > 0; }
 
 private:
+    struct received_changes {
+        store_changes content;
+        time_point requested_at;
+    };
+    struct received_range {
+        store_range content;
+        time_point requested_at;
+    };
+    using received = std::variant<received_changes, received_range>;
+
+    auto request_changes(milliseconds wait) -> asio::awaitable<result<received>>;
+    auto request_range() -> asio::awaitable<result<received>>;
     auto read_all() -> asio::awaitable<result<void>>;
     auto watch_once() -> asio::awaitable<result<void>>;
+    auto take_changes(received_changes const& changes) -> void;
+    auto take_range(received_range const& range) -> void;
     auto on_store_response() -> void;
     auto set_change_times(time_point requested_at, time_point begun_at, time_point now) -> void;
     [[nodiscard]] auto arrived_since(time_point now) const -> time_point;
--- a/include/hibiscuswall/http/http_client.hpp
+++ b/include/hibiscuswall/http/http_client.hpp
@@ -47,6 +47,8 @@
     // The request is not written later than this: the call then fails as deadline_exceeded, and no byte was
     // sent. For requests whose basis expires, such as an order that follows from an observation.
     std::optional<time_point> send_by{};
+    // For open(): the header of the answer has arrived by then, however long the connection took.
+    std::optional<time_point> header_by{};
     bool may_end_with_connection = false; // accept a body without a length, for texts and chunks whose cut is
                                           // recognised by their syntax or digest
 };
@@ -77,6 +79,9 @@
     // Time for each further piece, in place of http_call_options::timeout.
     virtual auto set_read_timeout(milliseconds each) -> void = 0;
 
+    // The rest of the answer arrives by then, in place of a time for each piece.
+    virtual auto set_deadline(time_point latest) -> void = 0;
+
     // Closes the connection; a pending read() fails.
     virtual auto cancel() -> void = 0;
 };
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -36,12 +36,9 @@
 constexpr auto gather_entries = milliseconds{1'000};  // changes of entries within it cost one call
 constexpr auto directory_check_interval = milliseconds{1'000};
 constexpr auto lag_check_interval = milliseconds{200};
-constexpr auto min_logged_lag = milliseconds{1'000}; // the store's watch usually delivers a change long before
+constexpr auto min_logged_lag =
+    milliseconds{1'000}; // the store's watch usually delivers a change long before
 constexpr auto quarantine_check_interval = milliseconds{1'000};
-// A watch may have missed a change without an error, on a connection that went silent. It has failed so long
-// before a host has to be up to date after a fault of the store: for the next call, and the pause before it.
-constexpr auto settle_margin = milliseconds{300};
-constexpr auto min_watch_wait = milliseconds{1'000};
 constexpr auto stall_check_interval = milliseconds{200};
 constexpr auto stall_margin = milliseconds{600}; // beyond the time within which entries gather changes
 
@@ -71,8 +68,8 @@
     operator_lag lag;
     std::map<std::string, std::uint64_t> known_versions; // newest declared weights by model
     bool has_listing = false;                            // endpoints were read once
-    int shared_count = 0;      // entries among which endpoints and limits were last shared
-    milliseconds listing_wait; // of the watch of endpoints, with the shortest time of gathering
+    int shared_count = 0; // entries among which endpoints and limits were last shared
+    milliseconds settle_time;
     milliseconds stop_time;
 
     direct_entry(direct_entry_settings const& settings, std::uint64_t seed)
@@ -98,10 +95,10 @@
           caller_server{base.context().io, caller_routes, nullptr, server_limits({})},
           ready_server{base.context().io, ready_routes, nullptr, {}},
           operators{store, base.context().random, std::string{platform::operator_prefix},
-                    operator_settings(watch_wait(settings, milliseconds{0})), operator_events()},
+                    operator_settings(watch_wait(settings.settle_time, milliseconds{0})), operator_events()},
           declarations{store, base.context().random, declared, base.pauses(), &operators},
           listing{store, base.context().random, std::string{platform::endpoint_prefix},
-                  listing_settings(watch_wait(settings, min_gather)), listing_events()},
+                  listing_settings(watch_wait(settings.settle_time, min_gather)), listing_events()},
           directory{{}, listing_of(settings.self)}, registration{store, base.context().random,
                                                                  listing_of(settings.self)},
           directory_watcher{store, base.context().random, std::string{entry_prefix}, directory_settings(),
@@ -112,7 +109,7 @@
                    [this] { return declarations.complete_until(); },
                    [this] { return loads.newer_peer(); },
                    [this] { return loads.newer_weights_peer(); }},
-          listing_wait{watch_wait(settings, min_gather)}, stop_time{settings.stop_time}
+          settle_time{settings.settle_time}, stop_time{settings.stop_time}
     {
         caller_routes.add("*", "/", [this](http_request const& request, http_responder& out) {
             return relay.serve(request, out);
@@ -169,14 +166,6 @@
         return settings;
     }
 
-    // Changes are gathered for a while before each watch.
-    [[nodiscard]] static auto watch_wait(direct_entry_settings const& settings, milliseconds gather)
-        -> milliseconds
-    {
-        return std::max(min_watch_wait,
-                        settings.settle_time - gather - settings.store_timeout - settle_margin);
-    }
-
     auto operator_settings(milliseconds wait) const -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
@@ -218,7 +207,7 @@
         shared_count = count;
         auto const gather = std::clamp(count * gather_per_entry, min_gather, max_gather);
         listing.set_batch_delay(gather);
-        listing.set_wait(std::max(min_watch_wait, listing_wait + min_gather - gather));
+        listing.set_wait(watch_wait(settle_time, gather));
         relay.set_entry_count(count + 1); // one that has just started may not be listed yet
         set_quarantine_entries(entries);
         rate_limits.set_entries(entries);
@@ -247,8 +236,8 @@
         }
     }
 
-    // Tells how old what operators declared is at this entry, compared with the newest change that it has heard
-    // of.
+    // Tells how old what operators declared is at this entry, compared with the newest change that it has
+    // heard of.
     auto run_lag_checks() -> asio::awaitable<void>
     {
         auto is_late = false;
--- a/src/fleet/prefix_watcher.cpp
+++ b/src/fleet/prefix_watcher.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
 
+#include "hibiscuswall/core/hedged.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/store_revision.hpp"
@@ -18,9 +19,19 @@
 // change: the change had been made before the request arrived.
 constexpr auto immediate_response_factor = 4;
 constexpr auto min_immediate_response = milliseconds{50}; // of a store that is not busy
+// After the end of its wait, until a watch without a response is overdue.
+constexpr auto overdue_time = milliseconds{300};
+constexpr auto answer_time = milliseconds{300}; // of a range, with its way
+constexpr auto min_watch_wait = milliseconds{1'000};
 
 } // namespace
 
+auto watch_wait(milliseconds settle_time, milliseconds gather) -> milliseconds
+{
+    auto const to_replace = overdue_time + key_value_client::second_call_delay + answer_time;
+    return std::max(min_watch_wait, settle_time - gather - to_replace);
+}
+
 auto prefix_watcher::run() -> asio::awaitable<void>
 {
     while (true) {
@@ -47,22 +58,43 @@
     }
 }
 
-auto prefix_watcher::read_all() -> asio::awaitable<result<void>>
+auto prefix_watcher::request_range() -> asio::awaitable<result<received>>
 {
     auto const requested_at = clock::now();
     auto range = co_await store_.range(prefix_);
     if (!range) co_return range.error();
-    response_delay_ = clock::now() - requested_at;
+    co_return received{received_range{std::move(range).value(), requested_at}};
+}
+
+auto prefix_watcher::request_changes(milliseconds wait) -> asio::awaitable<result<received>>
+{
+    auto const requested_at = clock::now();
+    auto changes = co_await store_.watch_prefix(prefix_, revision_, wait);
+    if (!changes) co_return changes.error();
+    co_return received{received_changes{std::move(changes).value(), requested_at}};
+}
+
+auto prefix_watcher::read_all() -> asio::awaitable<result<void>>
+{
+    auto range = co_await request_range();
+    if (!range) co_return range.error();
+    take_range(std::get<received_range>(range.value()));
+    co_return success();
+}
+
+auto prefix_watcher::take_range(received_range const& range) -> void
+{
+    auto const now = clock::now();
+    response_delay_ = now - range.requested_at;
     changed_since_ = complete_until_;
-    complete_until_ = std::max(complete_until_, requested_at);
+    complete_until_ = std::max(complete_until_, range.requested_at);
     on_store_response();
-    on_range_era(range.value().revision, clock::now());
-    revision_ = std::max(revision_, range.value().revision);
-    for (auto const& item : range.value().items)
+    on_range_era(range.content.revision, now);
+    revision_ = std::max(revision_, range.content.revision);
+    for (auto const& item : range.content.items)
         changed_revision_ = std::max(changed_revision_, item.revision);
     complete_ = true;
-    callbacks_.on_range(range.value(), recently_unavailable(clock::now()));
-    co_return success();
+    callbacks_.on_range(range.content, recently_unavailable(now));
 }
 
 auto prefix_watcher::on_range_era(std::uint64_t revision, time_point now) -> void
@@ -94,25 +126,40 @@
 {
     auto const wait = short_watches_remaining_ > 0 ? settings_.short_watch_duration : settings_.wait;
     if (short_watches_remaining_ > 0) --short_watches_remaining_;
-    auto const requested_at = clock::now();
-    auto received = co_await store_.watch_prefix(prefix_, revision_, wait);
-    if (!received) co_return received.error();
-    set_change_times(requested_at, received.value().begun_at, clock::now());
+    auto const call = [this, wait](std::size_t attempt) {
+        return attempt == 0 ? request_changes(wait) : request_range();
+    };
+    auto const policy = hedge_options{wait + overdue_time, after_failure::no_more};
+    auto response = co_await hedged<received>(2, policy, call);
+    if (!response) co_return response.error();
+    if (auto const* range = std::get_if<received_range>(&response.value())) {
+        short_watches_remaining_ = settings_.short_watch_count;
+        log_event(log_level::info, "watch_overdue", {{"prefix", prefix_}});
+        take_range(*range);
+        co_return success();
+    }
+    auto const& changes = std::get<received_changes>(response.value());
+    take_changes(changes);
+    if (!changes.content.changes.empty() && settings_.batch_delay.count() > 0)
+        co_await sleep_for(settings_.batch_delay);
+    co_return success();
+}
+
+auto prefix_watcher::take_changes(received_changes const& changes) -> void
+{
+    set_change_times(changes.requested_at, changes.content.begun_at, clock::now());
     on_store_response();
-    revision_ = std::max(revision_, received.value().revision);
+    revision_ = std::max(revision_, changes.content.revision);
     read_again_after_restore(clock::now());
     auto const unavailable = recently_unavailable(clock::now());
     auto seen_keys = std::set<std::string_view>{};
-    for (auto const& change : received.value().changes) {
+    for (auto const& change : changes.content.changes) {
         changed_revision_ = std::max(changed_revision_, change.revision);
         callbacks_.on_change(change, unavailable);
         // A watch returns every value that a key had. If a key changed more than once, this process is
         // behind: reading the range fetches only the newest values, which lets it catch up over a slow link.
         if (!seen_keys.insert(change.key).second) complete_ = false;
     }
-    if (!received.value().changes.empty() && settings_.batch_delay.count() > 0)
-        co_await sleep_for(settings_.batch_delay);
-    co_return success();
 }
 
 // The store responds as soon as there is a change, so the changes are as old as the begin of the response;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -79,6 +80,14 @@
     return code;
 }
 
+// The timeout, or what is left until the deadline.
+auto shorter(milliseconds timeout, std::optional<time_point> deadline) -> milliseconds
+{
+    if (!deadline) return timeout;
+    auto const left = std::chrono::ceil<milliseconds>(*deadline - clock::now());
+    return std::clamp(left, milliseconds{0}, timeout);
+}
+
 auto is_silence(boost::system::error_code code) -> bool
 {
     return code == beast::error::timeout || code == asio::error::timed_out;
@@ -258,7 +267,13 @@
         }
     }
 
-    auto set_read_timeout(milliseconds each) -> void override { options_.timeout = each; }
+    auto set_read_timeout(milliseconds each) -> void override
+    {
+        options_.timeout = each;
+        deadline_.reset();
+    }
+
+    auto set_deadline(time_point latest) -> void override { deadline_ = latest; }
 
     auto cancel() -> void override
     {
@@ -303,7 +318,7 @@
     address where_;
     connection_ptr connection_;
     http_call_options options_;
-    std::optional<time_point> deadline_; // of the whole answer; without it each piece has options_.timeout
+    std::optional<time_point> deadline_; // of all that is read; without it each piece has options_.timeout
     http::response_parser<http::buffer_body> parser_;
     http_headers headers_;
     http_traffic& counts_; // in the client's state
@@ -320,14 +335,14 @@
     auto held = options.fresh_connection ? nullptr : take(where, clock::now());
     while (true) {
         if (held == nullptr) {
-            auto made = co_await connect(where, options.connect_timeout);
+            auto made = co_await connect(where, shorter(options.connect_timeout, deadline));
             if (!made) co_return made.error();
             held = std::move(made).value();
         }
         auto const reused = held->reused;
         if (options.send_by && clock::now() > *options.send_by)
             co_return fail(result_code::deadline_exceeded, where.text() + ": not sent before its deadline");
-        held->stream.expires_after(options.timeout);
+        held->stream.expires_after(shorter(options.timeout, deadline));
         auto [write_code, size] = co_await http::async_write(held->stream, message, awaitable_tuple);
         counts_of(options.purpose).sent += size;
         auto answer = std::make_unique<response_stream>(self, where, std::move(held), options, deadline);
@@ -352,7 +367,7 @@
 auto http_client::open(address const& where, http_request request, http_call_options options)
     -> asio::awaitable<result<std::unique_ptr<http_stream>>>
 {
-    return state_->exchange(where, std::move(request), options, std::nullopt);
+    return state_->exchange(where, std::move(request), options, options.header_by);
 }
 
 auto http_client::fetch(address const& where, http_request request, http_call_options options)
--- a/standins/support/key_value_table.cpp
+++ b/standins/support/key_value_table.cpp
@@ -106,11 +106,27 @@
         each->cancel();
 }
 
-// Counts the call, then applies the faults; false when the call was refused.
+auto key_value_table::await_disconnect(http_responder& out) -> asio::awaitable<void>
+{
+    auto timer = clock_timer{io_, time_point::max()};
+    out.on_disconnect([&timer] { timer.cancel(); });
+    while (!out.disconnected()) {
+        timer.expires_at(time_point::max());
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    out.on_disconnect([] {});
+}
+
+// Counts the call, then applies the faults; false when the call was refused or is not answered.
 auto key_value_table::begin(std::string const& kind, bool is_write, http_responder& out)
     -> asio::awaitable<bool>
 {
     ++calls[kind];
+    if (silent || unanswered > 0) {
+        unanswered = std::max(0, unanswered - 1);
+        co_await await_disconnect(out);
+        co_return false;
+    }
     if (delay.count() > 0) co_await sleep_for(delay);
     if (down || (is_write && down_for_writes)) {
         ++calls["refused"];
@@ -196,6 +212,7 @@
     }
     waiting_.erase(&timer);
     out.on_disconnect([] {});
+    if (silent) co_return co_await await_disconnect(out);
     if (down) co_return co_await send_body(out, 503, "{}");
     if (is_lost()) co_return co_await send_body(out, 410, "{}");
     auto const news = json{{"events", changes(prefix, after)}, {"currentRev", revision}};
@@ -257,6 +274,12 @@
     wake();
 }
 
+auto key_value_table::put(std::string const& key, std::string value) -> void
+{
+    auto const row = json{{"key", key}, {"value", encode_base64(value)}};
+    apply(json::array({row}), json::array());
+}
+
 auto key_value_table::remove(std::string const& key) -> void
 {
     if (entries.erase(key) > 0) deletions_.push_back({key, revision});
--- a/standins/support/key_value_table.hpp
+++ b/standins/support/key_value_table.hpp
@@ -45,6 +45,9 @@
     // Calls by kind, revision, keys and waiting watches.
     [[nodiscard]] auto stats() const -> nlohmann::json;
 
+    // Writes a value without a call.
+    auto put(std::string const& key, std::string value) -> void;
+
     // Waiting watches look again: after a change of entries, of down or of compacted.
     auto wake() -> void;
 
@@ -65,6 +68,8 @@
     // ---- faults
     bool down = false;            // answer 503 and do nothing
     bool down_for_writes = false; // the same, for writes
+    bool silent = false;          // calls that arrive or wait meanwhile are never answered
+    int unanswered = 0;           // next calls that are never answered
     milliseconds delay{0};        // before each call
     int drop_responses = 0;       // writes that take effect but whose answer is cut
     std::string loses;            // key whose answers are lost; empty: any
@@ -83,6 +88,7 @@
     };
 
     auto begin(std::string const& kind, bool is_write, http_responder& out) -> asio::awaitable<bool>;
+    auto await_disconnect(http_responder& out) -> asio::awaitable<void>;
     auto find(http_request const& request, http_responder& out) -> asio::awaitable<void>;
     auto range(http_request const& request, http_responder& out) -> asio::awaitable<void>;
     auto watch(http_request const& request, http_responder& out) -> asio::awaitable<void>;
