Ask the next peer for operators' changes while one is silent, and name peers that are there

What callers saw: an entry that the store refuses or does not answer served an older configuration for up to 3.5 s, though its peers had the newer one.

Cause: an entry asked one peer, the one that the agents named last, and waited up to 2.5 s for it on a kept connection (0.8 s for a new one). All agents of a region named the same entry, the first by address, for 3.5 s after its last word, also to an entry that had just failed to reach it.

Class: the silence of one party is waited out before the next is asked; as with the range of the store.

A peer that was passed over or had nothing newer comes last for 3 s. Agents name entries that renewed their subscription within 1.1 s before others, of their own region, each agent another one. Agents ask entries for declarations and services in the same way.

--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -10,6 +10,7 @@
 //   sender.send_report(report, now);
 
 #include "hibiscuswall/fleet/declared_state.hpp"
+#include "hibiscuswall/fleet/informed_peers.hpp"
 #include "hibiscuswall/membership/member.hpp"
 #include "hibiscuswall/serving/endpoint_table.hpp"
 #include "hibiscuswall/serving/load_datagram.hpp"
@@ -76,29 +77,27 @@
     [[nodiscard]] auto peer_records_revision() const -> std::uint64_t { return peer_records_revision_; }
 
     // Newest operator change that a load report named.
-    [[nodiscard]] auto peer_revision() const -> std::uint64_t { return peer_revision_; }
+    [[nodiscard]] auto peer_revision() const -> std::uint64_t { return operator_peers_.newest(); }
 
-    // Peer address of an entry that knows a newer operator change than this process, if one is known.
-    [[nodiscard]] auto newer_peer() const -> std::optional<address>;
+    // Peer addresses of entries that know a newer operator change than this process, the best first.
+    [[nodiscard]] auto newer_peers(time_point now) const -> std::vector<address>;
 
-    // Peer address of an agent that knows a newer weights declaration than this process, if one is known.
-    [[nodiscard]] auto newer_weights_peer() const -> std::optional<address>;
+    // Peer addresses of agents that know a newer weights declaration than this process, the best first.
+    [[nodiscard]] auto newer_weights_peers(time_point now) const -> std::vector<address>;
 
 private:
     auto receive() -> asio::awaitable<void>;
     auto subscribe() -> asio::awaitable<void>;
     auto on_report_received(load_report const& report, address const& agent) -> void;
-    auto on_declaration_known(load_report const& report, address const& agent, time_point now) -> void;
+    [[nodiscard]] auto is_of_same_region(load_report const& report) const -> bool;
     [[nodiscard]] auto has_agent(tracked_endpoint const& endpoint) const -> bool;
 
     asio::ip::udp::socket socket_;
     member const& self_;
     endpoint_table& endpoints_;
     declared_state& declared_state_;
-    std::uint64_t weights_peer_revision_ = 0; // newest weights declaration that a load report named
-    address weights_peer_;                    // agent that knows it, preferably of this region
-    std::uint64_t peer_revision_ = 0;         // newest operator change that a load report named
-    address most_current_peer_;               // entry that knows peer_revision_
+    informed_peers operator_peers_; // entries that know newer operator changes
+    informed_peers weights_peers_;  // agents that know newer weights declarations
     std::function<void()> on_load_report_;
     quarantine_callback on_quarantine_records_;
     std::function<void(rate_report const&, address const& from)> on_rate_report_;
@@ -125,13 +124,13 @@
     // the next report replaces it.
     auto send_report(load_report report, time_point now) -> void;
 
-    // Peer address of an entry that knows weights declarations or a configuration that this agent lacks, if
-    // one is known; preferably in the same region.
-    [[nodiscard]] auto newer_peer() const -> std::optional<address>;
+    // Peer addresses of entries that know weights declarations or a configuration that this agent lacks, in
+    // the order of entries().
+    [[nodiscard]] auto newer_peers(time_point now) const -> std::vector<address>;
 
-    // Peer addresses of the entries that subscribe to this agent: those of its own region first, in an order
-    // that differs between agents.
-    [[nodiscard]] auto entries() const -> std::vector<address>;
+    // Peer addresses of the entries that subscribe to this agent: those that were heard of lately first, then
+    // those of its own region, in an order that differs between agents.
+    [[nodiscard]] auto entries(time_point now) const -> std::vector<address>;
 
 private:
     struct subscriber {
@@ -141,7 +140,9 @@
     using subscriber_map = std::map<asio::ip::udp::endpoint, subscriber>;
 
     auto receive() -> asio::awaitable<void>;
-    auto set_most_current_peer(load_report& report) const -> void;
+    using subscriber_list = std::vector<std::pair<asio::ip::udp::endpoint, subscriber const*>>;
+    [[nodiscard]] auto ranked_subscribers(time_point now) const -> subscriber_list;
+    auto set_most_current_peer(load_report& report, time_point now) const -> void;
     auto is_due(load_report const& report, time_point now) -> bool;
 
     asio::ip::udp::socket socket_;
--- a/include/hibiscuswall/fleet/operator_sync.hpp
+++ b/include/hibiscuswall/fleet/operator_sync.hpp
@@ -3,8 +3,12 @@
 // the store is stalled.
 //
 //   auto sync = operator_sync{context, declared, operator_scope::all,
-//                             [&] { return watch.complete_until(); }, [&] { return loads.newer_peer(); }};
-//   asio::co_spawn(io, sync.run(), asio::detached);
+//                             [&] { return watch.complete_until(); },
+//                             [&](time_point now) { return loads.newer_peers(now); }};
+//   start_loop(io.get_executor(), "operator_sync", [&] { return sync.run(); });
+//
+// Several peers are asked, one a short while after the other, until one has answered; one that did not is
+// asked last for some seconds.
 //
 // Serves this process's copy of the operators' keys on the peer address: GET /fleet/operators returns all of
 // them, GET /fleet/weights the weights declarations, GET /fleet/services the services of the configuration.
@@ -41,37 +45,52 @@
 
 class operator_sync {
 public:
-    // Returns the peer address of a process that is known to have a newer change, if there is one.
-    using peer_function = std::function<std::optional<address>()>;
+    // Returns the peer addresses of processes that are known to have a newer change, the best first.
+    using peers_function = std::function<std::vector<address>(time_point now)>;
     using time_function = std::function<time_point()>;
 
     // declarations_known_until: every weights declaration made before this time is known from the store.
-    // newer_weights_peer names a process with a newer weights declaration, for a process that keeps all keys;
-    // declarations are fetched without the rest, which may be large.
+    // newer_weights_peers names processes with a newer weights declaration, for a process that keeps all
+    // keys; declarations are fetched without the rest, which may be large.
     operator_sync(process_context& context, declared_state& declared, operator_scope scope,
-                  time_function declarations_known_until, peer_function newer_peer,
-                  peer_function newer_weights_peer = {});
+                  time_function declarations_known_until, peers_function newer_peers,
+                  peers_function newer_weights_peers = {});
 
     // Fetches from a peer that stays ahead longer than the store's watch usually takes; at once as long as no
     // configuration is known. Runs until the io_context stops.
     auto run() -> asio::awaitable<void>;
 
-    // The same for the weights declarations alone, from newer_weights_peer; beside run(), whose fetches may
+    // The same for the weights declarations alone, from newer_weights_peers; beside run(), whose fetches may
     // be large.
     auto run_weights() -> asio::awaitable<void>;
 
 private:
-    auto follow(peer_function const& newer_peer, operator_scope scope) -> asio::awaitable<void>;
-    auto fetch(address peer, operator_scope scope) -> asio::awaitable<void>;
-    auto take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at) -> void;
+    // What a process asks its peers for.
+    struct question {
+        std::string_view path;            // of the request
+        std::string_view prefix;          // of the keys in the answer
+        std::uint64_t known_revision = 0; // an answer has to be newer
+    };
+    struct answer {
+        operator_snapshot content;
+        time_point requested_at;
+    };
+
+    auto follow(peers_function const& newer_peers, operator_scope scope) -> asio::awaitable<void>;
+    auto fetch(std::vector<address> peers, operator_scope scope) -> asio::awaitable<void>;
+    auto fetch_from(address peer, question asked) -> asio::awaitable<result<answer>>;
+    [[nodiscard]] auto question_for(operator_scope scope) const -> question;
+    [[nodiscard]] auto in_order(std::vector<address> peers, time_point now) const -> std::vector<address>;
+    auto take(answer const& received, std::string_view prefix) -> void;
     auto services() -> operator_snapshot;
 
     process_context& context_;
     declared_state& declared_state_;
     operator_scope scope_;
     time_function declarations_known_until_;
-    peer_function newer_peer_;
-    peer_function newer_weights_peer_;
+    peers_function newer_peers_;
+    peers_function newer_weights_peers_;
+    std::map<address, time_point> unanswered_; // when a peer was last given up, or passed over for the next
     operator_snapshot
         services_snapshot_; // cached response to GET /fleet/services; rebuilt after a new revision
 };
--- a/src/daemon/direct_agent.cpp
+++ b/src/daemon/direct_agent.cpp
@@ -65,9 +65,10 @@
           declared{settings.declared}, loads{base.context().io, base.context().self, declared},
           declarations{store, base.context().random, declared, base.pauses()},
           exchange{base.context(), declared, operator_scope::weights,
-                   [this] { return declarations.complete_until(); }, [this] { return loads.newer_peer(); }},
+                   [this] { return declarations.complete_until(); },
+                   [this](time_point now) { return loads.newer_peers(now); }},
           directory{base.context().client, store, base.context().self, settings.regions,
-                    [this] { return loads.entries(); }},
+                    [this] { return loads.entries(clock::now()); }},
           keeper{base.context(), declared, directory, loads, keeper_settings(settings)}
     {
         base.ready_when([this] { return declared.map() != nullptr && keeper.serves_newest_version(); });
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -107,8 +107,8 @@
                    declared,
                    operator_scope::all,
                    [this] { return declarations.complete_until(); },
-                   [this] { return loads.newer_peer(); },
-                   [this] { return loads.newer_weights_peer(); }},
+                   [this](time_point now) { return loads.newer_peers(now); },
+                   [this](time_point now) { return loads.newer_weights_peers(now); }},
           settle_time{settings.settle_time}, stop_time{settings.stop_time}
     {
         caller_routes.add("*", "/", [this](http_request const& request, http_responder& out) {
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -23,6 +23,7 @@
 constexpr auto many_agents = std::size_t{16}; // from which on subscriptions are renewed less often
 constexpr auto many_subscribe_interval = milliseconds{500}; // several times within subscription_lifetime
 constexpr auto subscription_lifetime = milliseconds{3'500};
+constexpr auto renewed_lately = milliseconds{1'100};     // two renewals of an entry with many agents
 constexpr auto idle_report_interval = milliseconds{280}; // well below the lifetime of a load report
 constexpr auto other_region_interval = 3U; // every third report also goes to entries of other regions
 constexpr auto max_datagram_bytes = std::size_t{2'048};
@@ -101,29 +102,20 @@
     send_now(socket_, bytes, {asio::ip::make_address(to.ip), to.port});
 }
 
-auto load_report_receiver::newer_peer() const -> std::optional<address>
+auto load_report_receiver::newer_peers(time_point now) const -> std::vector<address>
 {
-    if (peer_revision_ <= declared_state_.revision()) return std::nullopt;
-    return most_current_peer_;
+    return operator_peers_.newer_than(declared_state_.revision(), now);
 }
 
-auto load_report_receiver::newer_weights_peer() const -> std::optional<address>
+auto load_report_receiver::newer_weights_peers(time_point now) const -> std::vector<address>
 {
-    if (weights_peer_revision_ <= declared_state_.weights_revision()) return std::nullopt;
-    return weights_peer_;
+    return weights_peers_.newer_than(declared_state_.weights_revision(), now);
 }
 
-auto load_report_receiver::on_declaration_known(load_report const& report, address const& agent,
-                                                time_point now) -> void
+auto load_report_receiver::is_of_same_region(load_report const& report) const -> bool
 {
-    declared_state_.on_peer_knows({report.weights_revision, report.weights_age}, now);
-    if (report.weights_revision < weights_peer_revision_) return;
-    auto const is_same_region =
-        std::find(report.same_region_entries.begin(), report.same_region_entries.end(), self_.name) !=
-        report.same_region_entries.end();
-    if (report.weights_revision == weights_peer_revision_ && !is_same_region) return;
-    weights_peer_revision_ = report.weights_revision;
-    weights_peer_ = agent;
+    auto const& entries = report.same_region_entries;
+    return std::find(entries.begin(), entries.end(), self_.name) != entries.end();
 }
 
 auto load_report_receiver::on_report_received(load_report const& report, address const& agent) -> void
@@ -131,13 +123,14 @@
     auto const now = clock::now();
     auto const round_trip =
         microseconds{microseconds_of(now) - report.echoed_sent_at_us - report.subscription_age_us};
+    auto const is_near = is_of_same_region(report);
     endpoints_.on_load_report(report, round_trip, now);
-    on_declaration_known(report, agent, now);
-    if (on_load_report_) on_load_report_();
+    declared_state_.on_peer_knows({report.weights_revision, report.weights_age}, now);
+    if (report.weights_revision > 0) weights_peers_.on_reported(agent, report.weights_revision, is_near, now);
+    if (report.most_current_peer)
+        operator_peers_.on_reported(*report.most_current_peer, report.operator_revision, is_near, now);
     peer_records_revision_ = std::max(peer_records_revision_, report.records_revision);
-    if (!report.most_current_peer || report.operator_revision < peer_revision_) return;
-    peer_revision_ = report.operator_revision;
-    most_current_peer_ = *report.most_current_peer;
+    if (on_load_report_) on_load_report_();
 }
 
 // Only engines have agents. An engine without weights is known by its service.
@@ -203,52 +196,52 @@
     }
 }
 
-auto load_report_sender::newer_peer() const -> std::optional<address>
+auto load_report_sender::newer_peers(time_point now) const -> std::vector<address>
 {
-    auto found = std::optional<address>{};
-    for (auto const& [from, entry] : subscribers_) {
-        auto const& known = entry.latest;
+    auto found = std::vector<address>{};
+    for (auto const& [from, entry] : ranked_subscribers(now)) {
+        auto const& known = entry->latest;
         auto const lacks_configuration = declared_state_.map() == nullptr && known.operator_revision > 0;
-        if (!lacks_configuration && known.weights_revision <= declared_state_.weights_revision()) continue;
-        if (!found || known.region == self_.region) found = to_address(from);
+        if (lacks_configuration || known.weights_revision > declared_state_.weights_revision())
+            found.push_back(to_address(from));
     }
     return found;
 }
 
-auto load_report_sender::entries() const -> std::vector<address>
+auto load_report_sender::entries(time_point now) const -> std::vector<address>
 {
-    struct ranked_entry {
-        bool is_elsewhere = false;
-        std::uint64_t weight = 0;
-        address where;
-    };
-    auto ranked = std::vector<ranked_entry>{};
-    for (auto const& [from, entry] : subscribers_)
-        ranked.push_back({entry.latest.region != self_.region,
-                          rendezvous_weight(self_.name, entry.latest.entry), to_address(from)});
-    std::sort(ranked.begin(), ranked.end(), [](auto const& left, auto const& right) {
-        return std::tie(left.is_elsewhere, left.weight) < std::tie(right.is_elsewhere, right.weight);
-    });
     auto found = std::vector<address>{};
-    for (auto& each : ranked)
-        found.push_back(std::move(each.where));
+    for (auto const& [from, entry] : ranked_subscribers(now))
+        found.push_back(to_address(from));
     return found;
 }
 
-// Entries fetch operator changes from each other if the store is unavailable. The agent only names the entry
-// with the newest revision, preferably one of its own region.
-auto load_report_sender::set_most_current_peer(load_report& report) const -> void
+// An entry that has missed a renewal or two may be gone; the order differs between agents, so that they do
+// not all turn to the same one.
+auto load_report_sender::ranked_subscribers(time_point now) const -> subscriber_list
+{
+    auto ranked = subscriber_list{};
+    for (auto const& [from, entry] : subscribers_)
+        ranked.emplace_back(from, &entry);
+    auto const rank = [&](auto const& each) {
+        auto const& latest = each.second->latest;
+        return std::make_tuple(now - each.second->received_at > renewed_lately, latest.region != self_.region,
+                               rendezvous_weight(self_.name, latest.entry));
+    };
+    std::sort(ranked.begin(), ranked.end(),
+              [&](auto const& left, auto const& right) { return rank(left) < rank(right); });
+    return ranked;
+}
+
+// Entries fetch operator changes from each other if the store is unavailable. The agent only names an entry
+// with the newest revision.
+auto load_report_sender::set_most_current_peer(load_report& report, time_point now) const -> void
 {
-    auto best_is_same_region = false;
-    for (auto const& [from, entry] : subscribers_) {
-        auto const& known = entry.latest;
-        auto const is_same_region = known.region == self_.region;
-        if (known.operator_revision == 0 || known.operator_revision < report.operator_revision) continue;
-        if (known.operator_revision == report.operator_revision && (best_is_same_region || !is_same_region))
-            continue;
-        report.operator_revision = known.operator_revision;
+    for (auto const& [from, entry] : ranked_subscribers(now)) {
+        auto const revision = entry->latest.operator_revision;
+        if (revision <= report.operator_revision) continue;
+        report.operator_revision = revision;
         report.most_current_peer = to_address(from);
-        best_is_same_region = is_same_region;
     }
 }
 
@@ -283,7 +276,7 @@
                   [&](auto const& each) { return now - each.second.received_at > subscription_lifetime; });
     if (!is_due(report, now)) return;
     report.subscriber_count = static_cast<int>(subscribers_.size());
-    set_most_current_peer(report);
+    set_most_current_peer(report, now);
     auto const weights = declared_state_.newest_weights(now);
     report.weights_revision = weights.revision;
     report.weights_age = weights.age;
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscuswall/core/base64.hpp"
 #include "hibiscuswall/core/checked_json.hpp"
+#include "hibiscuswall/core/hedged.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/operator_documents.hpp"
@@ -20,6 +21,9 @@
     milliseconds{200}; // the store's watch usually delivers the change in this time
 constexpr auto connect_timeout = milliseconds{800};
 constexpr auto fetch_timeout = milliseconds{2'500}; // allows for a complete configuration over a shared link
+constexpr auto next_peer_delay = milliseconds{300}; // until the next peer is asked as well
+constexpr auto max_peers_asked = std::size_t{3};
+constexpr auto avoid_time = milliseconds{3'000};           // a peer that did not answer comes last meanwhile
 constexpr auto max_age = milliseconds{24 * 3'600 * 1'000}; // of a declaration, as a peer may state it
 constexpr auto all_path = std::string_view{"/fleet/operators"};
 constexpr auto weights_path = std::string_view{"/fleet/weights"};
@@ -61,11 +65,11 @@
 }
 
 operator_sync::operator_sync(process_context& context, declared_state& declared, operator_scope scope,
-                             time_function declarations_known_until, peer_function newer_peer,
-                             peer_function newer_weights_peer)
+                             time_function declarations_known_until, peers_function newer_peers,
+                             peers_function newer_weights_peers)
     : context_{context}, declared_state_{declared}, scope_{scope}, declarations_known_until_{std::move(
                                                                        declarations_known_until)},
-      newer_peer_{std::move(newer_peer)}, newer_weights_peer_{std::move(newer_weights_peer)}
+      newer_peers_{std::move(newer_peers)}, newer_weights_peers_{std::move(newer_weights_peers)}
 {
     auto const respond = [](http_responder& out, operator_snapshot snapshot) -> asio::awaitable<void> {
         co_await out.send(json_response(200, encode(snapshot)));
@@ -97,75 +101,105 @@
     return services_snapshot_;
 }
 
-auto operator_sync::run() -> asio::awaitable<void> { return follow(newer_peer_, scope_); }
+auto operator_sync::run() -> asio::awaitable<void> { return follow(newer_peers_, scope_); }
 
 auto operator_sync::run_weights() -> asio::awaitable<void>
 {
-    return follow(newer_weights_peer_, operator_scope::weights);
+    return follow(newer_weights_peers_, operator_scope::weights);
 }
 
-auto operator_sync::follow(peer_function const& newer_peer, operator_scope scope) -> asio::awaitable<void>
+auto operator_sync::follow(peers_function const& newer_peers, operator_scope scope) -> asio::awaitable<void>
 {
     auto behind_since = std::optional<time_point>{};
     while (true) {
         co_await sleep_for(poll_interval);
-        auto const peer = newer_peer();
         auto const now = clock::now();
-        if (!peer) {
+        auto peers = in_order(newer_peers(now), now);
+        if (peers.empty()) {
             behind_since.reset();
             continue;
         }
         if (!behind_since) behind_since = now;
-        // Without a configuration, fetches from the peer at once instead of waiting for the store.
+        // Without a configuration, fetches from a peer at once instead of waiting for the store.
         if (declared_state_.map() != nullptr && now - *behind_since < store_catch_up_delay) continue;
-        co_await fetch(*peer, scope);
+        co_await fetch(std::move(peers), scope);
         behind_since.reset();
     }
 }
 
-auto operator_sync::fetch(address peer, operator_scope scope) -> asio::awaitable<void>
+// Those that lately did not answer come last.
+auto operator_sync::in_order(std::vector<address> peers, time_point now) const -> std::vector<address>
+{
+    std::stable_partition(peers.begin(), peers.end(), [&](auto const& peer) {
+        auto const found = unanswered_.find(peer);
+        return found == unanswered_.end() || now - found->second >= avoid_time;
+    });
+    return peers;
+}
+
+auto operator_sync::question_for(operator_scope scope) const -> question
+{
+    if (scope == operator_scope::all)
+        return {all_path, platform::operator_prefix, declared_state_.revision()};
+    if (scope_ == operator_scope::weights && declared_state_.map() == nullptr)
+        return {services_path, platform::configuration_key, 0};
+    return {weights_path, platform::weights_prefix, declared_state_.weights_revision()};
+}
+
+auto operator_sync::fetch(std::vector<address> peers, operator_scope scope) -> asio::awaitable<void>
+{
+    auto const asked = question_for(scope);
+    peers.resize(std::min(peers.size(), max_peers_asked));
+    auto const count = peers.size();
+    auto const ask = [this, asked, peers = std::move(peers)](std::size_t index) {
+        if (index > 0) unanswered_[peers[index - 1]] = clock::now();
+        return fetch_from(peers[index], asked);
+    };
+    auto received = co_await hedged<answer>(count, {next_peer_delay}, ask);
+    std::erase_if(unanswered_,
+                  [now = clock::now()](auto const& each) { return now - each.second >= avoid_time; });
+    if (!received) co_return;
+    take(received.value(), asked.prefix);
+    if (scope == operator_scope::all) declared_state_.agree(received.value().content.revision);
+}
+
+auto operator_sync::fetch_from(address peer, question asked) -> asio::awaitable<result<answer>>
 {
     auto options = http_call_options{};
     options.connect_timeout = connect_timeout;
     options.timeout = fetch_timeout;
     options.purpose = "operators";
-    auto const needs_all = scope == operator_scope::all;
-    auto const needs_services = scope_ == operator_scope::weights && declared_state_.map() == nullptr;
-    auto const path = needs_all ? all_path : needs_services ? services_path : weights_path;
-    auto const prefix = needs_all        ? platform::operator_prefix
-                        : needs_services ? platform::configuration_key
-                                         : platform::weights_prefix;
-    auto const known_revision = needs_all        ? declared_state_.revision()
-                                : needs_services ? 0
-                                                 : declared_state_.weights_revision();
     auto const requested_at = clock::now();
-    auto response = co_await context_.client.fetch(peer, {"GET", std::string{path}}, options);
+    auto response = co_await context_.client.fetch(peer, {"GET", std::string{asked.path}}, options);
     auto snapshot = std::optional<operator_snapshot>{};
     if (response && response.value().status == 200)
         snapshot = decode_operator_snapshot(response.value().body);
     auto const peer_has_no_state = snapshot && snapshot->revision == 0; // the peer has just started
     auto const outcome = peer_has_no_state ? std::string{"knows nothing"}
-                         : snapshot        ? std::string{"taken"}
+                         : snapshot        ? std::string{"received"}
                          : response        ? std::string{"refused"}
                                            : response.error().message;
     log_event(log_level::info, "operators_from_peer",
               {{"peer", peer.text()},
-               {"prefix", std::string{prefix}},
-               {"known_revision", std::to_string(known_revision)},
+               {"prefix", std::string{asked.prefix}},
+               {"known_revision", std::to_string(asked.known_revision)},
                {"revision", snapshot ? std::to_string(snapshot->revision) : "none"},
+               {"after_ms", milliseconds_text(clock::now() - requested_at)},
                {"outcome", outcome}});
-    if (!snapshot || snapshot->revision < known_revision) co_return;
-    take(*snapshot, prefix, requested_at);
-    if (needs_all) declared_state_.agree(snapshot->revision);
+    if (!snapshot || snapshot->revision <= asked.known_revision) {
+        unanswered_[peer] = clock::now();
+        co_return fail(result_code::configuration_missing, peer.text() + ": " + outcome);
+    }
+    co_return answer{std::move(*snapshot), requested_at};
 }
 
 // What this process lacked when it last knew all declarations was declared later, whatever a peer supposes.
 // The peer tells the age of the newest declaration of each model only: one before it, which this process
 // lacks as well, may be as old as that.
-auto operator_sync::take(operator_snapshot const& snapshot, std::string_view prefix, time_point requested_at)
-    -> void
+auto operator_sync::take(answer const& received, std::string_view prefix) -> void
 {
     auto const now = clock::now();
+    auto const& snapshot = received.content;
     auto const earliest = declarations_known_until_();
     for (auto const& item : snapshot.items)
         declared_state_.note_skipped_versions(item, now, earliest);
@@ -173,7 +207,7 @@
     for (auto const& item : snapshot.items)
         if (auto const age = snapshot.ages.find(item.key); age != snapshot.ages.end())
             declared_state_.correct_declaration(item.key, item.revision,
-                                                std::max(earliest, requested_at - age->second));
+                                                std::max(earliest, received.requested_at - age->second));
 }
 
 } // namespace hibiscuswall
