Ask a second entry for the list of agents while the first is silent

Cause: as with configurations, the silence of one party is waited out before the next is asked.

Why this works: the next entry is asked 200 ms after the one before it, or at once after it has failed; the first list counts.

Test: agent_list.one_silent_entry_does_not_hold_up_the_list failed before: 501 ms, bound 400.

--- a/include/hibiscuswall/fleet/agent_directory.hpp
+++ b/include/hibiscuswall/fleet/agent_directory.hpp
@@ -48,6 +48,7 @@
 
 private:
     auto ask_entries() -> asio::awaitable<result<std::vector<listed_agent>>>;
+    auto ask_entry(address entry) -> asio::awaitable<result<std::vector<listed_agent>>>;
     auto read_store() -> asio::awaitable<result<std::vector<listed_agent>>>;
     auto add_agent(listed_agent const& listed) -> void;
 
--- a/src/fleet/agent_directory.cpp
+++ b/src/fleet/agent_directory.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/fleet/agent_directory.hpp"
 
+#include "hibiscuswall/core/hedged.hpp"
 #include "hibiscuswall/core/rendezvous.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/endpoint_records.hpp"
@@ -11,7 +12,8 @@
 namespace {
 
 constexpr auto refresh_interval = milliseconds{1'000};
-constexpr auto max_entries_asked = std::size_t{2}; // before the store is read
+constexpr auto max_entries_asked = std::size_t{2};   // before the store is read
+constexpr auto next_entry_delay = milliseconds{200}; // until the next entry is asked as well
 
 } // namespace
 
@@ -36,14 +38,19 @@
 
 auto agent_directory::ask_entries() -> asio::awaitable<result<std::vector<listed_agent>>>
 {
-    auto found = result<std::vector<listed_agent>>{fail(result_code::store_unavailable, "no entry is known")};
     auto const entries = entries_();
-    for (auto i = std::size_t{0}; i < std::min(max_entries_asked, entries.size()) && !found; ++i) {
-        found = co_await fetch_agent_list(client_, entries[i], self_.service);
-        if (!found)
-            log_event(log_level::info, "agents_not_told",
-                      {{"entry", entries[i].text()}, {"reason", found.error().message}});
-    }
+    if (entries.empty()) co_return fail(result_code::store_unavailable, "no entry is known");
+    auto const ask = [this, entries](std::size_t index) { return ask_entry(entries[index]); };
+    auto const count = std::min(max_entries_asked, entries.size());
+    co_return co_await hedged<std::vector<listed_agent>>(count, {next_entry_delay}, ask);
+}
+
+auto agent_directory::ask_entry(address entry) -> asio::awaitable<result<std::vector<listed_agent>>>
+{
+    auto found = co_await fetch_agent_list(client_, entry, self_.service);
+    if (!found)
+        log_event(log_level::info, "agents_not_told",
+                  {{"entry", entry.text()}, {"reason", found.error().message}});
     co_return found;
 }
 
--- a/tests/unit/agent_directory_test.cpp
+++ b/tests/unit/agent_directory_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/endpoint_records.hpp"
 
 #include "support/fake_store.hpp"
+#include "support/port_pool.hpp"
 #include "support/run_coroutine.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -149,6 +150,19 @@
     UNSIGNED_LONGS_EQUAL(1, reads_of_store());
 }
 
+// Guards against a transfer that begins late because the entry that is asked first has just fallen silent.
+TEST(agent_list, one_silent_entry_does_not_hold_up_the_list)
+{
+    entry.add("run-2", "10.0.0.2", "domain-a");
+    auto const silent = port_pool::next();
+    auto const listener = asio::ip::tcp::acceptor{io, {asio::ip::make_address(silent.ip), silent.port}};
+    entries = {silent, entry.where};
+    auto const begun_at = clock::now();
+    refresh();
+    STRCMP_EQUAL("10.0.0.2", directory.agents().front().name.c_str());
+    CHECK(clock::now() - begun_at < milliseconds{400});
+}
+
 // Guards against bytes of another program that become names of hosts.
 TEST(agent_list, is_refused_if_it_names_no_addresses)
 {
