Read each field of a configuration by itself

A configuration that the store has accepted is not in force at any entry, for good, because of one field that has nothing to do with the change: calls to its new routes and with its new keys get 404 and 401.

Cause: one document, one verdict. A field of another type than expected, null, out of range or fractional refused the whole document, on every process alike; it was stored all the same and its revision counted as known, so that neither a peer nor a later read brought it back.

Why this works: the store accepts only valid configurations, and operators count on all that it has accepted. Each field is read by itself (core/tolerant_fields.hpp): absent or null has its default, a number out of range the nearest bound, what cannot be read its default, and the log names it (configuration_fields_unread).

--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -32,6 +32,17 @@
     list.erase(closest);
 }
 
+auto log_unread(unread_fields const& unread, std::uint64_t revision) -> void
+{
+    if (unread.count == 0) return;
+    auto paths = std::string{};
+    for (auto const& path : unread.first)
+        paths += (paths.empty() ? "" : " ") + path;
+    log_event(
+        log_level::warning, "configuration_fields_unread",
+        {{"revision", std::to_string(revision)}, {"fields", std::to_string(unread.count)}, {"first", paths}});
+}
+
 } // namespace
 
 auto declared_state::apply(store_change const& change, time_point now, time_point since) -> void
@@ -138,7 +149,8 @@
                   {{"revision", std::to_string(revision)}, {"reason", decoded.error().message}});
         return true;
     }
-    auto const version = decoded.value()->version();
+    log_unread(decoded.value().unread, revision);
+    auto const version = decoded.value().map->version();
     if (map_ != nullptr && map_->version() > version) {
         log_event(log_level::warning, "configuration_older",
                   {{"version", std::to_string(version)},
@@ -147,7 +159,7 @@
         return false;
     }
     if (map_ != nullptr && map_->version() == version) return true;
-    map_ = std::move(decoded).value();
+    map_ = std::move(decoded).value().map;
     log_event(log_level::info, "configuration_applied",
               {{"version", std::to_string(map_->version())},
                {"revision", std::to_string(revision)},
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -152,6 +152,8 @@
 auto call_relay::choose_service(route_match& match) -> result<void>
 {
     auto const& services = match.route->services;
+    if (services.empty())
+        return fail(result_code::no_endpoint, "the route names no service in the configuration");
     auto sum = 0.0;
     for (auto const& each : services)
         sum += each.weight;
