--- a/standins/support/key_value_table.cpp
+++ b/standins/support/key_value_table.cpp
@@ -123,7 +123,7 @@
 {
     ++calls[kind];
     if (silent || unanswered > 0) {
-        unanswered = std::max(0, unanswered - 1);
+        if (unanswered > 0) --unanswered;
         co_await await_disconnect(out);
         co_return false;
     }
--- a/standins/support/key_value_table.hpp
+++ b/standins/support/key_value_table.hpp
@@ -69,7 +69,7 @@
     bool down = false;            // answer 503 and do nothing
     bool down_for_writes = false; // the same, for writes
     bool silent = false;          // calls that arrive or wait meanwhile are never answered
-    int unanswered = 0;           // next calls that are never answered
+    std::size_t unanswered = 0;   // next calls that are never answered
     milliseconds delay{0};        // before each call
     int drop_responses = 0;       // writes that take effect but whose answer is cut
     std::string loses;            // key whose answers are lost; empty: any
--- a/tests/unit/config_service_test.cpp
+++ b/tests/unit/config_service_test.cpp
@@ -291,6 +291,37 @@
         seconds{3}));
 }
 
+// Guards against waits that add up: the process to which a change is pushed first takes connections and
+// answers nothing, and the store leaves a call of each watcher unanswered. The times are those of a daemon.
+TEST(config_distribution, is_in_force_in_time_with_a_silent_root_of_the_tree_and_unanswered_calls)
+{
+    constexpr auto bound = seconds{4};
+    for (auto i = 0; i < 30; ++i)
+        process("host-" + std::to_string(i), "gor-a", config_settings{});
+    add_all_to_member_tables();
+    for (auto& one : processes)
+        one->config.start();
+    CHECK(run_until([&] { return all_in_force(0); }, seconds{5}));
+    auto const order = push_order(processes[0]->context.self, processes[0]->table.members(), "gor-a");
+    auto const find = [&](std::string const& name) {
+        return std::find_if(processes.begin(), processes.end(),
+                            [&](auto& one) { return one->context.self.name == name; });
+    };
+    auto& root = **find(order[0]);
+    auto& writer = **find(order.back());
+    root.server.stop_accepting();
+    auto const where = root.context.self.control_address;
+    auto const silent = asio::ip::tcp::acceptor{io, {asio::ip::make_address(where.ip), where.port}};
+    store.after_write = [&](std::string const& key) {
+        if (key == config_root_key) store.unanswered = watchers_per_failure_domain;
+    };
+    auto const written = apply(writer, host_change("h", "out", "first"));
+    auto const has_it = [&](auto const& one) {
+        return one->context.self.name == order[0] || one->config.state().revision() >= written.value();
+    };
+    CHECK(run_until([&] { return std::all_of(processes.begin(), processes.end(), has_it); }, bound));
+}
+
 // Guards against a peer with an old revision that reverts a restarted process to it.
 TEST(config_distribution, gives_a_starting_process_the_newest_revision_of_its_peers)
 {
