Take a newer configuration from a peer also if its revision is older

An entry that starts while a restored store names an older configuration serves that one, and calls to newer routes get 404, until operators have written the newer one again.

Cause: processes compared revisions only. After a restore the older document has the newer revision: who took it believes to be ahead, and who kept the newer document under its older revision counts as current, since its revision rises with what it ignores. So neither asked the other.

Why this works: of a configuration, its version tells which is newer. Subscriptions state it, load reports name a holder where the most current peer has an older one, and a configuration of an earlier era of the store is taken if its version is newer. The fields are optional in the datagrams, both ways.

Test: operator_sync.a_newer_configuration_is_taken_from_a_peer_with_an_older_revision fails without the comparison of versions; load_datagram.*

--- a/include/hibiscuswall/fleet/declared_state.hpp
+++ b/include/hibiscuswall/fleet/declared_state.hpp
@@ -9,7 +9,8 @@
 //
 // Never goes back: a change is ignored unless its revision is newer than the known revision of its key, and
 // unless the version that a configuration or a declaration names is at least the known one. A store that was
-// restored from a copy names an older one until operators have written the newer one again.
+// restored from a copy names an older one until operators have written the newer one again; a configuration
+// of an earlier era of the store is therefore taken if its version is newer.
 //
 // The grace period of an old weights version runs from its successor's declaration, which this process may
 // receive late: after a pause, after a call to the store that got no response, or behind a large value. So
@@ -97,6 +98,13 @@
     auto agree(std::uint64_t revision) -> void { revision_ = std::max(revision_, revision); }
 
     [[nodiscard]] auto map() const -> service_map_ptr const& { return map_; }
+    // Version of the configuration in force; 0: none yet.
+    [[nodiscard]] auto configuration_version() const -> std::uint64_t
+    {
+        return map_ == nullptr ? 0 : map_->version();
+    }
+    // The same as far as items() holds it for peers: operators may have deleted its key.
+    [[nodiscard]] auto offered_configuration_version() const -> std::uint64_t;
     [[nodiscard]] auto out_of_service() const -> failure_domain_set const& { return out_of_service_; }
 
     // Store revision up to which this process knows all operator changes, as far as it keeps them.
@@ -134,6 +142,7 @@
     [[nodiscard]] auto has_read(std::string_view prefix) const -> bool;
     static auto set_declared_at(std::string_view model, declared_weights& declaration, time_point declared_at)
         -> void;
+    [[nodiscard]] auto is_news(std::string_view key, std::uint64_t revision) const -> bool;
     // These return whether the value is at least as new as the one that is in force.
     auto apply_configuration(std::string const& value, std::uint64_t revision) -> bool;
     auto apply_weights_version(std::string const& model, std::string const& value, std::uint64_t revision,
--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_channel.hpp
@@ -79,7 +79,8 @@
     // Newest operator change that a load report named.
     [[nodiscard]] auto peer_revision() const -> std::uint64_t { return operator_peers_.newest(); }
 
-    // Peer addresses of entries that know a newer operator change than this process, the best first.
+    // Peer addresses of entries that have a newer configuration, or know a newer operator change, than this
+    // process, the best first.
     [[nodiscard]] auto newer_peers(time_point now) const -> std::vector<address>;
 
     // Peer addresses of agents that know a newer weights declaration than this process, the best first.
@@ -96,8 +97,9 @@
     member const& self_;
     endpoint_table& endpoints_;
     declared_state& declared_state_;
-    informed_peers operator_peers_; // entries that know newer operator changes
-    informed_peers weights_peers_;  // agents that know newer weights declarations
+    informed_peers operator_peers_;      // entries that know newer operator changes
+    informed_peers configuration_peers_; // entries with newer configurations; their versions as revisions
+    informed_peers weights_peers_;       // agents that know newer weights declarations
     std::function<void()> on_load_report_;
     quarantine_callback on_quarantine_records_;
     std::function<void(rate_report const&, address const& from)> on_rate_report_;
@@ -143,6 +145,7 @@
     using subscriber_list = std::vector<std::pair<asio::ip::udp::endpoint, subscriber const*>>;
     [[nodiscard]] auto ranked_subscribers(time_point now) const -> subscriber_list;
     auto set_most_current_peer(load_report& report, time_point now) const -> void;
+    auto set_newest_configuration(load_report& report, subscriber_list const& ranked) const -> void;
     auto is_due(load_report const& report, time_point now) -> bool;
 
     asio::ip::udp::socket socket_;
--- a/include/hibiscuswall/fleet/operator_sync.hpp
+++ b/include/hibiscuswall/fleet/operator_sync.hpp
@@ -31,6 +31,7 @@
     // Time since the weights declarations among the items were made, by key. Peers of earlier builds send
     // none.
     std::map<std::string, milliseconds, std::less<>> ages{};
+    std::uint64_t configuration_version = 0; // in force at the peer; 0: none, or a peer of an earlier build
 };
 
 // JSON text, as sent between daemons.
@@ -69,7 +70,8 @@
     struct question {
         std::string_view path;            // of the request
         std::string_view prefix;          // of the keys in the answer
-        std::uint64_t known_revision = 0; // an answer has to be newer
+        std::uint64_t known_revision = 0; // an answer has to be newer than this, or than the next
+        std::uint64_t known_version = 0;  // of the configuration
     };
     struct answer {
         operator_snapshot content;
--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -21,14 +21,22 @@
 namespace hibiscuswall {
 
 struct subscription {
-    std::string entry;                   // name of the subscriber
-    std::string region;                  // region of the subscriber
-    std::uint64_t operator_revision = 0; // newest operator change known to the subscriber
-    std::uint64_t weights_revision = 0;  // newest weights declaration known to the subscriber
-    double shed_level = 0;               // fraction of callers that the subscriber sheds
-    std::int64_t sent_at_us = 0;         // subscriber's steady clock, echoed in load reports
-    std::uint64_t records_revision = 0;  // newest change of an endpoint's record known to the subscriber
-    milliseconds weights_age{0};         // since a process is known to have received that declaration
+    std::string entry;                       // name of the subscriber
+    std::string region;                      // region of the subscriber
+    std::uint64_t operator_revision = 0;     // newest operator change known to the subscriber
+    std::uint64_t weights_revision = 0;      // newest weights declaration known to the subscriber
+    double shed_level = 0;                   // fraction of callers that the subscriber sheds
+    std::int64_t sent_at_us = 0;             // subscriber's steady clock, echoed in load reports
+    std::uint64_t records_revision = 0;      // newest change of an endpoint's record known to the subscriber
+    milliseconds weights_age{0};             // since a process is known to have received that declaration
+    std::uint64_t configuration_version = 0; // in force at the subscriber; 0: none
+};
+
+// A process whose configuration is newer than that of others, though its newest operator change may be older:
+// the store was restored, and names an older configuration until operators have written the newer one again.
+struct configuration_holder {
+    std::uint64_t version = 0;
+    address peer; // peer address
 };
 
 struct load_report {
@@ -49,6 +57,8 @@
     std::uint64_t weights_revision = 0; // newest weights declaration known to the agent
     milliseconds weights_age{0};        // since a process is known to have received that declaration
     aged_rate_knowledge rate;           // the rate limit that the engine names, as known to its agent
+    // Set if most_current_peer has an older configuration than another subscriber.
+    std::optional<configuration_holder> newest_configuration;
     // Set by encode_for_subscriber(): sent_at_us of the receiver's latest subscription, and the time since
     // that subscription arrived at the agent.
     std::int64_t echoed_sent_at_us = 0;
--- a/src/fleet/declared_state.cpp
+++ b/src/fleet/declared_state.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/operator_documents.hpp"
+#include "platform/store_revision.hpp"
 
 #include <algorithm>
 #include <set>
@@ -104,13 +105,24 @@
                        [&](auto const& each) { return prefix.starts_with(each); });
 }
 
-auto declared_state::put_item(std::string_view key, std::string const& value, std::uint64_t revision,
-                              time_point now, time_point since) -> bool
+// Whether a value with this revision may be newer than what is known of the key. Of a configuration from an
+// earlier era of the store, only its version tells.
+auto declared_state::is_news(std::string_view key, std::uint64_t revision) const -> bool
 {
+    auto const era_of = [](std::uint64_t each) { return store_revision::from_ordered(each).era; };
+    auto const is_newer_than = [&](std::uint64_t known) {
+        return revision > known || (platform::is_configuration(key) && era_of(revision) < era_of(known));
+    };
     auto const known = items_.find(key);
-    if (known != items_.end() && known->second.revision >= revision) return false;
+    if (known != items_.end() && !is_newer_than(known->second.revision)) return false;
     auto const deleted = deleted_.find(key);
-    if (deleted != deleted_.end() && deleted->second >= revision) return false;
+    return deleted == deleted_.end() || is_newer_than(deleted->second);
+}
+
+auto declared_state::put_item(std::string_view key, std::string const& value, std::uint64_t revision,
+                              time_point now, time_point since) -> bool
+{
+    if (!is_news(key, revision)) return false;
     if (platform::is_configuration(key) && !apply_configuration(value, revision)) return false;
     if (auto const model = platform::declared_model(key)) {
         weights_revision_ = std::max(weights_revision_, revision);
@@ -143,11 +155,13 @@
 
 auto declared_state::apply_configuration(std::string const& value, std::uint64_t revision) -> bool
 {
+    auto const known = items_.find(platform::configuration_key);
+    auto const is_newest_revision = known == items_.end() || revision > known->second.revision;
     auto decoded = platform::decode_configuration(value);
     if (!decoded) {
         log_event(log_level::error, "configuration_refused",
                   {{"revision", std::to_string(revision)}, {"reason", decoded.error().message}});
-        return true;
+        return is_newest_revision;
     }
     log_unread(decoded.value().unread, revision);
     auto const version = decoded.value().map->version();
@@ -158,7 +172,7 @@
                    {"known_version", std::to_string(map_->version())}});
         return false;
     }
-    if (map_ != nullptr && map_->version() == version) return true;
+    if (map_ != nullptr && map_->version() == version) return is_newest_revision;
     map_ = std::move(decoded).value().map;
     log_event(log_level::info, "configuration_applied",
               {{"version", std::to_string(map_->version())},
@@ -282,6 +296,11 @@
     return oldest_allowed;
 }
 
+auto declared_state::offered_configuration_version() const -> std::uint64_t
+{
+    return items_.contains(platform::configuration_key) ? configuration_version() : 0;
+}
+
 auto declared_state::ages(std::string_view prefix, time_point now) const
     -> std::map<std::string, milliseconds, std::less<>>
 {
--- a/src/fleet/load_report_channel.cpp
+++ b/src/fleet/load_report_channel.cpp
@@ -104,7 +104,10 @@
 
 auto load_report_receiver::newer_peers(time_point now) const -> std::vector<address>
 {
-    return operator_peers_.newer_than(declared_state_.revision(), now);
+    auto peers = configuration_peers_.newer_than(declared_state_.configuration_version(), now);
+    for (auto& peer : operator_peers_.newer_than(declared_state_.revision(), now))
+        if (std::find(peers.begin(), peers.end(), peer) == peers.end()) peers.push_back(std::move(peer));
+    return peers;
 }
 
 auto load_report_receiver::newer_weights_peers(time_point now) const -> std::vector<address>
@@ -129,6 +132,8 @@
     if (report.weights_revision > 0) weights_peers_.on_reported(agent, report.weights_revision, is_near, now);
     if (report.most_current_peer)
         operator_peers_.on_reported(*report.most_current_peer, report.operator_revision, is_near, now);
+    if (auto const& newest = report.newest_configuration)
+        configuration_peers_.on_reported(newest->peer, newest->version, is_near, now);
     peer_records_revision_ = std::max(peer_records_revision_, report.records_revision);
     if (on_load_report_) on_load_report_();
 }
@@ -150,7 +155,8 @@
         auto const bytes =
             encode(subscription{self_.name, self_.region, declared_state_.revision(), weights.revision,
                                 shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(now),
-                                records_revision_source_ ? records_revision_source_() : 0, weights.age});
+                                records_revision_source_ ? records_revision_source_() : 0, weights.age,
+                                declared_state_.offered_configuration_version()});
         auto agents = std::set<std::string>{};
         for (auto const& [id, endpoint] : endpoints_.all())
             if (endpoint->assigned && has_agent(*endpoint)) agents.insert(endpoint->record.where.ip);
@@ -237,12 +243,28 @@
 // with the newest revision.
 auto load_report_sender::set_most_current_peer(load_report& report, time_point now) const -> void
 {
-    for (auto const& [from, entry] : ranked_subscribers(now)) {
+    auto const ranked = ranked_subscribers(now);
+    for (auto const& [from, entry] : ranked) {
         auto const revision = entry->latest.operator_revision;
         if (revision <= report.operator_revision) continue;
         report.operator_revision = revision;
         report.most_current_peer = to_address(from);
     }
+    set_newest_configuration(report, ranked);
+}
+
+auto load_report_sender::set_newest_configuration(load_report& report, subscriber_list const& ranked) const
+    -> void
+{
+    auto newest = configuration_holder{};
+    auto version_of_most_current = std::uint64_t{0};
+    for (auto const& [from, entry] : ranked) {
+        auto const version = entry->latest.configuration_version;
+        if (report.most_current_peer == to_address(from)) version_of_most_current = version;
+        if (version > newest.version) newest = {version, to_address(from)};
+    }
+    report.newest_configuration.reset();
+    if (newest.version > version_of_most_current) report.newest_configuration = newest;
 }
 
 auto load_report_sender::send_holdings(chunk_holdings const& held, std::vector<member> const& agents) -> void
--- a/src/fleet/operator_sync.cpp
+++ b/src/fleet/operator_sync.cpp
@@ -39,7 +39,11 @@
     auto ages = json::object();
     for (auto const& [key, age] : snapshot.ages)
         ages[key] = age.count();
-    return json{{"revision", snapshot.revision}, {"items", items}, {"ages_ms", ages}}.dump();
+    return json{{"revision", snapshot.revision},
+                {"items", items},
+                {"ages_ms", ages},
+                {"configuration_version", snapshot.configuration_version}}
+        .dump();
 }
 
 auto decode_operator_snapshot(std::string_view text) -> std::optional<operator_snapshot>
@@ -54,6 +58,8 @@
             snapshot.items.push_back(
                 {item.at(0).get<std::string>(), std::move(*value), integer_from<std::uint64_t>(item.at(2))});
         }
+        if (document.contains("configuration_version"))
+            snapshot.configuration_version = integer_field<std::uint64_t>(document, "configuration_version");
         auto const ages = document.value("ages_ms", json::object());
         for (auto const& [key, age] : ages.items())
             snapshot.ages[key] =
@@ -76,7 +82,8 @@
     };
     context_.control.add("GET", all_path, [this, respond](http_request const&, http_responder& out) {
         return respond(out, {declared_state_.revision(), declared_state_.items(platform::operator_prefix),
-                             declared_state_.ages(platform::operator_prefix, clock::now())});
+                             declared_state_.ages(platform::operator_prefix, clock::now()),
+                             declared_state_.offered_configuration_version()});
     });
     context_.control.add("GET", weights_path, [this, respond](http_request const&, http_responder& out) {
         return respond(out,
@@ -140,10 +147,11 @@
 auto operator_sync::question_for(operator_scope scope) const -> question
 {
     if (scope == operator_scope::all)
-        return {all_path, platform::operator_prefix, declared_state_.revision()};
+        return {all_path, platform::operator_prefix, declared_state_.revision(),
+                declared_state_.configuration_version()};
     if (scope_ == operator_scope::weights && declared_state_.map() == nullptr)
-        return {services_path, platform::configuration_key, 0};
-    return {weights_path, platform::weights_prefix, declared_state_.weights_revision()};
+        return {services_path, platform::configuration_key, 0, 0};
+    return {weights_path, platform::weights_prefix, declared_state_.weights_revision(), 0};
 }
 
 auto operator_sync::fetch(std::vector<address> peers, operator_scope scope) -> asio::awaitable<void>
@@ -186,7 +194,9 @@
                {"revision", snapshot ? std::to_string(snapshot->revision) : "none"},
                {"after_ms", milliseconds_text(clock::now() - requested_at)},
                {"outcome", outcome}});
-    if (!snapshot || snapshot->revision <= asked.known_revision) {
+    auto const is_newer = snapshot && (snapshot->revision > asked.known_revision ||
+                                       snapshot->configuration_version > asked.known_version);
+    if (!is_newer) {
         unanswered_[peer] = clock::now();
         co_return fail(result_code::configuration_missing, peer.text() + ": " + outcome);
     }
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -17,12 +17,14 @@
 constexpr auto holdings_tag = 3;
 constexpr auto quarantine_tag = 4; // 5 and 6: rate_datagram.hpp
 // Absent in datagrams of earlier builds.
-constexpr auto leaving_field = std::size_t{12}; // of a load report
-constexpr auto records_field = std::size_t{13}; // of a load report
-constexpr auto weights_field = std::size_t{14}; // of a load report: revision, then age
-constexpr auto rate_field = std::size_t{16};    // of a load report
+constexpr auto leaving_field = std::size_t{12};       // of a load report
+constexpr auto records_field = std::size_t{13};       // of a load report
+constexpr auto weights_field = std::size_t{14};       // of a load report: revision, then age
+constexpr auto rate_field = std::size_t{16};          // of a load report
+constexpr auto configuration_field = std::size_t{17}; // of a load report: version, then peer; if it has one
 constexpr auto subscription_records_field = std::size_t{7};
 constexpr auto subscription_weights_age_field = std::size_t{8};
+constexpr auto subscription_configuration_field = std::size_t{9};
 // Ranges of quarantine records. One segment with the longest names and most marks fits into a datagram.
 constexpr auto max_name_bytes = std::size_t{256}; // of an entry, a model or a segment
 constexpr auto max_marks = std::size_t{16};       // of one segment
@@ -82,6 +84,8 @@
         decoded.records_revision = revision_from(message[subscription_records_field]);
     if (message.size() > subscription_weights_age_field)
         decoded.weights_age = age_from(message[subscription_weights_age_field]);
+    if (message.size() > subscription_configuration_field)
+        decoded.configuration_version = revision_from(message[subscription_configuration_field]);
     return decoded;
 }
 
@@ -119,6 +123,11 @@
         if (!known) return std::nullopt;
         report.rate = *known;
     }
+    if (message.size() > configuration_field + 1) {
+        auto const peer = parse_address(message[configuration_field + 1].get<std::string>());
+        if (!peer) return std::nullopt;
+        report.newest_configuration = {revision_from(message[configuration_field]), peer.value()};
+    }
     return report;
 }
 
@@ -198,20 +207,26 @@
 
 auto encode(subscription const& message) -> std::string
 {
-    return to_bytes(json::array({subscription_tag, message.entry, message.operator_revision,
-                                 message.sent_at_us, message.region, message.weights_revision,
-                                 message.shed_level, message.records_revision, message.weights_age.count()}));
+    return to_bytes(
+        json::array({subscription_tag, message.entry, message.operator_revision, message.sent_at_us,
+                     message.region, message.weights_revision, message.shed_level, message.records_revision,
+                     message.weights_age.count(), message.configuration_version}));
 }
 
 auto encode(load_report const& message) -> std::string
 {
-    return to_bytes(
+    auto fields =
         json::array({message.where.text(), message.started_at_ms, message.running, message.queued,
                      message.slowdown, weights_json(message.weights), message.paused,
                      message.subscriber_count, message.operator_revision, message.same_region_entries,
                      message.most_current_peer ? message.most_current_peer->text() : std::string{},
                      message.shed_level, message.leaving, message.records_revision, message.weights_revision,
-                     message.weights_age.count(), knowledge_json(message.rate)}));
+                     message.weights_age.count(), knowledge_json(message.rate)});
+    if (message.newest_configuration) {
+        fields.push_back(message.newest_configuration->version);
+        fields.push_back(message.newest_configuration->peer.text());
+    }
+    return to_bytes(fields);
 }
 
 auto encode_for_subscriber(std::string_view encoded_report, std::int64_t echoed_sent_at_us,
--- a/tests/unit/load_datagram_test.cpp
+++ b/tests/unit/load_datagram_test.cpp
@@ -31,6 +31,7 @@
     report.records_revision = 41;
     report.weights_revision = 52;
     report.weights_age = milliseconds{1'700};
+    report.newest_configuration = configuration_holder{31, {"10.0.0.8", 7700}};
     return report;
 }
 
@@ -55,15 +56,18 @@
     CHECK_EQUAL(40, report.subscription_age_us);
     DOUBLES_EQUAL(0.5, report.shed_level, 1e-9);
     STRCMP_EQUAL("10.0.0.9:7700", report.most_current_peer->text().c_str());
+    CHECK_EQUAL(31U, report.newest_configuration->version);
+    STRCMP_EQUAL("10.0.0.8:7700", report.newest_configuration->peer.text().c_str());
 
     auto const subscribed =
-        decode_datagram(encode(subscription{"e1", "north", 7, 5, 0.25, 123, 31, milliseconds{40}}));
+        decode_datagram(encode(subscription{"e1", "north", 7, 5, 0.25, 123, 31, milliseconds{40}, 12}));
     STRCMP_EQUAL("north", std::get<subscription>(*subscribed).region.c_str());
     CHECK_EQUAL(7U, std::get<subscription>(*subscribed).operator_revision);
     CHECK_EQUAL(5U, std::get<subscription>(*subscribed).weights_revision);
     CHECK_EQUAL(123, std::get<subscription>(*subscribed).sent_at_us);
     CHECK_EQUAL(31U, std::get<subscription>(*subscribed).records_revision);
     CHECK_EQUAL(40, std::get<subscription>(*subscribed).weights_age.count());
+    CHECK_EQUAL(12U, std::get<subscription>(*subscribed).configuration_version);
     DOUBLES_EQUAL(0.25, std::get<subscription>(*subscribed).shed_level, 1e-9);
 
     auto const holdings = decode_datagram(encode(chunk_holdings{"10.0.0.2", 2, "ff"}));
--- a/tests/unit/operator_sync_test.cpp
+++ b/tests/unit/operator_sync_test.cpp
@@ -3,6 +3,7 @@
 #include "hibiscuswall/http/http_server.hpp"
 
 #include "platform/operator_documents.hpp"
+#include "platform/store_revision.hpp"
 
 #include "support/port_pool.hpp"
 
@@ -38,7 +39,8 @@
     // As load reports tell.
     [[nodiscard]] auto newer_peers() const -> peer_list
     {
-        return declared.revision() < newest_revision ? named : peer_list{};
+        auto const is_behind = declared.revision() < newest_revision || version() < newest_version;
+        return is_behind ? named : peer_list{};
     }
 
     asio::io_context& io;
@@ -53,6 +55,7 @@
     declared_state declared{{}};
     peer_list named;
     std::uint64_t newest_revision = 0;
+    std::uint64_t newest_version = 0;
     operator_sync sync{context, declared, operator_scope::all, [] { return clock::now(); },
                        [this](time_point /*now*/) { return newer_peers(); }};
     http_server server{io, control, nullptr, {}};
@@ -130,3 +133,23 @@
     hears_of(10, {second.where});
     CHECK_FALSE(run_until([&] { return self.version() == 2; }, milliseconds{700}));
 }
+
+// A store that was restored names an older configuration, under a newer revision. Guards against a process
+// that starts meanwhile and believes that it is ahead of those that kept the newer one.
+TEST(operator_sync, a_newer_configuration_is_taken_from_a_peer_with_an_older_revision)
+{
+    constexpr auto era = store_revision{1, 0}.ordered();
+    second.applies(7, 20);
+    second.applies(4, era + 10); // is ignored
+    self.applies(4, era + 10);
+    CHECK_EQUAL(4U, self.version());
+    self.newest_version = 7;
+    self.named = {second.where};
+    CHECK(gets(7));
+
+    // What operators then write is taken as always.
+    self.applies(7, era + 11);
+    self.applies(8, era + 12);
+    CHECK_EQUAL(8U, self.version());
+    UNSIGNED_LONGS_EQUAL(era + 12, self.declared.items(platform::configuration_key).front().revision);
+}
