--- a/include/hibiscuswall/core/tolerant_fields.hpp
+++ b/include/hibiscuswall/core/tolerant_fields.hpp
@@ -6,8 +6,8 @@
 //
 //   auto unread = unread_fields{};
 //   auto const route = tolerant_fields{object, "routes[3]", unread};
-//   auto const attempts = route.integer("maxAttempts", 0, 100, 1);
-//   auto const timeout = route.duration("timeoutMs", milliseconds{60'000});
+//   auto const attempts = route.integer("attempts", 0, 100, 1);
+//   auto const timeout = route.duration("timeout_ms", milliseconds{60'000});
 //   unread.count;                                                        // 0 if all could be read
 
 #include "hibiscuswall/core/checked_json.hpp"
