Put the store's era before a fencing number

After a restore of the store, an engine that enforces fencing refuses an agent's orders until the counter has passed what it has seen, and an order of before the restore cannot be told from one after it.

Cause: the counter is a value of the store, so a restored store counts on from an older one: a number given out again.

Why this works: a number is the store's era before the counter, the same order that revisions have (platform/store_revision.hpp): whatever a later era gives out is above all before it. Without an era nothing changes.

Test: restored_store.a_fencing_number_is_above_all_that_were_given_out_before fails without the era.

--- a/src/weights/fencing.cpp
+++ b/src/weights/fencing.cpp
@@ -1,8 +1,15 @@
 #include "hibiscuswall/weights/fencing.hpp"
 
+#include "platform/store_revision.hpp"
+
 #include <charconv>
 
 namespace hibiscuswall {
+namespace {
+
+auto era_of(std::uint64_t revision) -> std::uint64_t { return store_revision::from_ordered(revision).era; }
+
+} // namespace
 
 auto next_fencing_number(key_value_client& store, std::string host) -> asio::awaitable<result<std::uint64_t>>
 {
@@ -24,7 +31,7 @@
         }
         ++number;
         auto written = co_await store.put(key, std::to_string(number), revision);
-        if (written) co_return number;
+        if (written) co_return store_revision{era_of(written.value()), number}.ordered();
         last_error = written.error();
     }
     co_return last_error;
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -3,6 +3,7 @@
 #include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/declared_state.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
+#include "hibiscuswall/weights/fencing.hpp"
 #include "platform/key_value_client.hpp"
 #include "platform/store_revision.hpp"
 
@@ -75,6 +76,20 @@
     CHECK_EQUAL(1U, store.calls["watch"]); // the second one was not sent
 }
 
+// Guards against an order of before the restore that an engine cannot tell from one after it.
+TEST(restored_store, a_fencing_number_is_above_all_that_were_given_out_before)
+{
+    auto const next = [&] { return run_coroutine(io, next_fencing_number(kv, "host-1")).value(); };
+    auto const first = next();
+    auto const copy = store.copy();
+    auto const lost = next();
+    CHECK(lost > first);
+    store.restore(copy);
+    auto const after = next();
+    CHECK(after > lost);
+    CHECK(next() > after);
+}
+
 // Guards against a conditional write that succeeds because another change has the expected number.
 TEST(restored_store, a_write_that_expects_a_revision_of_before_changes_nothing)
 {
