Write the configuration again that a restored store lost

An accepted configuration comes back older at every process: a failure domain that was taken out gets calls again. Where the copy has no configuration at all, each watcher asks the store again at once, for ever.

Cause: the version of the configuration is its revision, and the older copy has the newer one, of the store's new era. A watch for a key that the copy lacks ended at once as if its time had passed.

Why this works: each root names the writes before it. A root of a later era that is among those of the known document is an older copy of it (is_older_copy): it is not put in force, from wherever it comes; each watcher writes the document again, with its objects, by a compare-and-swap from the copy's revision, so that one of them succeeds and the others find its write. A change on top of a copy restores what was lost first. A watch for a lost key ends with resource_not_found.

What remains: a process that starts between the restore and the write takes the copy until then; an entry that has just started and applies a change before the watchers have written drops what was lost, which the log names nowhere.

Tests: restored_config.*; with the comparison left out, an_accepted_write_that_the_store_lost_is_written_again and a_change_right_after_the_restore_keeps_what_was_lost fail.

--- a/include/hibiscuswall/config/config_document.hpp
+++ b/include/hibiscuswall/config/config_document.hpp
@@ -66,6 +66,10 @@
     [[nodiscard]] auto revision_of(std::string_view id) const -> std::optional<std::uint64_t>;
 };
 
+// Whether the root is an earlier state of the known document, which a store that was restored from a copy
+// gives out again under a revision of its new era. An empty root stands for a store that lost it.
+[[nodiscard]] auto is_older_copy(config_document const& root, config_document const& known) -> bool;
+
 // Parses a root, without its objects. Errors: response_malformed.
 [[nodiscard]] auto parse_root(std::string_view text, std::uint64_t revision) -> result<config_document>;
 
--- a/include/hibiscuswall/config/config_service.hpp
+++ b/include/hibiscuswall/config/config_service.hpp
@@ -35,7 +35,8 @@
     // Writes a change to the store and applies it in this process. Returns its revision.
     auto apply(config_change change) -> asio::awaitable<result<std::uint64_t>>;
 
-    // Reads the root and the missing objects from the store.
+    // Reads the root and the missing objects from the store. A root that is an older copy of what this
+    // process has is left alone.
     auto refresh() -> asio::awaitable<result<void>>;
 
     // Handles a peer's revision received by gossip: fetches from the peer if its revision is newer. A peer
@@ -74,6 +75,7 @@
     auto push_once(member peer) -> asio::awaitable<bool>;
 
     // ---- store
+    auto restore(config_document copy, time_point requested_at) -> asio::awaitable<result<void>>;
     auto load_root(key_value_entry entry, time_point requested_at, std::string source)
         -> asio::awaitable<result<void>>;
 
--- a/include/hibiscuswall/config/config_writer.hpp
+++ b/include/hibiscuswall/config/config_writer.hpp
@@ -29,7 +29,8 @@
 public:
     config_writer(key_value_client& store, config_settings settings) : store_{store}, settings_{settings} {}
 
-    // known: a document whose objects need not be read from the store; may be null.
+    // known: a document whose objects need not be read from the store; may be null. If the store has an older
+    // copy of it, it is restored before the change.
     auto write(config_change change, std::shared_ptr<config_document const> known)
         -> asio::awaitable<result<config_document>>;
 
@@ -40,6 +41,10 @@
     auto complete(config_document root, std::shared_ptr<config_document const> known)
         -> asio::awaitable<result<config_document>>;
 
+    // Writes a document again that a restored store lost. copy: the older root that the store has, empty if
+    // it has none. Returns the document with its new revision. Errors: as write().
+    auto restore(config_document document, config_document copy) -> asio::awaitable<result<config_document>>;
+
     // Erases objects that were unreferenced at this call and at an earlier call at least collect_grace ago.
     // Returns the number of erased objects.
     auto collect() -> asio::awaitable<result<std::size_t>>;
--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscuswall/core/checked_json.hpp"
 #include "hibiscuswall/core/sha256.hpp"
+#include "platform/store_revision.hpp"
 
 #include <algorithm>
 #include <set>
@@ -172,6 +173,15 @@
     return found->revision;
 }
 
+auto is_older_copy(config_document const& root, config_document const& known) -> bool
+{
+    if (known.revision == 0) return false;
+    if (root.revision == 0) return true;
+    auto const era_of = [](std::uint64_t revision) { return store_revision::from_ordered(revision).era; };
+    return era_of(root.revision) > era_of(known.revision) && root.write_id != known.write_id &&
+           known.revision_of(root.write_id).has_value();
+}
+
 auto parse_root(std::string_view text, std::uint64_t revision) -> result<config_document>
 {
     try {
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -53,6 +53,7 @@
 {
     auto const revision = document.revision;
     auto const write_id = document.write_id;
+    if (state_.document() && is_older_copy(document, *state_.document())) return false;
     if (!state_.adopt(std::move(document), confirmed_at)) return false;
     context_.self.config_revision = revision;
     log_event(
@@ -102,7 +103,8 @@
     auto document = co_await writer_.read(state_.document());
     if (!document) co_return document.error();
     auto read = std::move(document).value();
-    auto const is_newest = read.revision >= state_.revision();
+    auto const is_older = state_.document() && is_older_copy(read, *state_.document());
+    auto const is_newest = !is_older && read.revision >= state_.revision();
     adopt(std::move(read), requested_at, "store");
     // A store that returns a lower revision than one that it accepted before confirms nothing.
     if (is_newest) state_.end_pause(requested_at);
@@ -164,6 +166,11 @@
     auto const revision = state_.revision();
     context_.metrics_registry.count("config_watch_calls_total");
     auto response = co_await store_.watch(config_root_key, revision, settings_.watch_wait);
+    if (!response && response.error().code == result_code::resource_not_found) {
+        auto nothing = config_document{};
+        auto const restored = co_await restore(std::move(nothing), requested_at);
+        co_return restored.has_value();
+    }
     if (!response) {
         context_.metrics_registry.count("config_watch_failures_total");
         log_event(log_level::warning, "config_watch_failed", {{"reason", response.error().message}});
@@ -186,6 +193,10 @@
     auto root = parse_root(entry.value, entry.revision);
     if (!root) co_return root.error();
     auto incomplete_document = std::move(root).value();
+    if (state_.document() && is_older_copy(incomplete_document, *state_.document())) {
+        auto restored = co_await restore(std::move(incomplete_document), requested_at);
+        co_return restored;
+    }
     auto complete = co_await writer_.complete(std::move(incomplete_document), state_.document());
     if (!complete) co_return complete.error();
     auto document = std::move(complete).value();
@@ -193,6 +204,25 @@
     co_return success();
 }
 
+// The store came back from a copy that is older than what it had accepted: what it lost is written again.
+// Each watcher tries; one of them succeeds, and the others find its write.
+auto config_service::restore(config_document copy, time_point requested_at) -> asio::awaitable<result<void>>
+{
+    auto const lost = state_.revision();
+    auto const found = copy.revision;
+    auto document = *state_.document();
+    auto restored = co_await writer_.restore(std::move(document), std::move(copy));
+    log_event(log_level::warning, "config_restored",
+              {{"lost_revision", std::to_string(lost)},
+               {"copy_revision", std::to_string(found)},
+               {"revision", restored ? std::to_string(restored.value().revision) : "none"},
+               {"outcome", restored ? "written" : restored.error().message}});
+    if (!restored) co_return restored.error();
+    auto written = std::move(restored).value();
+    adopt(std::move(written), requested_at, "restore");
+    co_return success();
+}
+
 auto config_service::tick_loop() -> asio::awaitable<void>
 {
     while (true) {
--- a/src/config/config_writer.cpp
+++ b/src/config/config_writer.cpp
@@ -74,7 +74,11 @@
     -> asio::awaitable<result<config_document>>
 {
     auto const started_at = clock::now();
-    auto read_base = co_await read(std::move(known));
+    auto read_base = co_await read(known);
+    if (read_base && known && is_older_copy(read_base.value(), *known)) {
+        auto copy = std::move(read_base).value();
+        read_base = co_await restore(*known, std::move(copy));
+    }
     if (!read_base) co_return read_base.error();
     auto const base = std::move(read_base).value();
     if (auto const earlier = base.revision_of(change.write_id)) {
@@ -94,6 +98,14 @@
     co_return co_await swap_root(next, base.revision);
 }
 
+auto config_writer::restore(config_document document, config_document copy)
+    -> asio::awaitable<result<config_document>>
+{
+    auto stored = co_await store_objects(document, copy);
+    if (!stored) co_return stored.error();
+    co_return co_await swap_root(std::move(document), copy.revision);
+}
+
 auto config_writer::store_objects(config_document next, config_document base) -> asio::awaitable<result<void>>
 {
     for (auto const& [digest, text] : next.objects) {
--- a/tests/unit/config_service_test.cpp
+++ b/tests/unit/config_service_test.cpp
@@ -3,6 +3,7 @@
 #include "hibiscuswall/config/push_tree.hpp"
 #include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/core/sleep.hpp"
+#include "platform/store_revision.hpp"
 
 #include "support/fake_store.hpp"
 #include "support/run_coroutine.hpp"
@@ -427,6 +428,80 @@
     CHECK(run_until([&] { return !one.config.state().paused(clock::now()); }, seconds{2}));
 }
 
+// ---- a store that comes back from an older copy
+
+struct restored_config_fixture : config_distribution_fixture {
+    test_process* entry = nullptr;
+
+    void setup() override
+    {
+        store.era = 1;
+        entry = &process("entry-1");
+        process("host-1");
+        process("host-2");
+        add_all_to_member_tables();
+        for (auto& one : processes)
+            one->config.start();
+        CHECK(run_until([&] { return all_in_force(0); }, seconds{3}));
+    }
+    auto takes_out(std::string const& host) -> std::uint64_t
+    {
+        return apply(*entry, host_change(host, "out", "out-" + host)).value();
+    }
+    auto restore_and_wait(key_value_table::store_copy copy) -> bool
+    {
+        store.restore(std::move(copy));
+        auto const is_written = [&] {
+            auto const found = store.entries.find("config/root");
+            if (found == store.entries.end()) return false;
+            auto const root = parse_root(found->second.value, 1).value();
+            return root.write_id == "out-h2" && all_in_force(store_revision{2, 1}.ordered());
+        };
+        return run_until(is_written, seconds{4});
+    }
+};
+
+TEST_GROUP_BASE(restored_config, restored_config_fixture){};
+
+// Guards against an accepted configuration that comes back older everywhere: the copy has the newer revision.
+TEST(restored_config, an_accepted_write_that_the_store_lost_is_written_again)
+{
+    takes_out("h1");
+    auto copy = store.copy();
+    takes_out("h2");
+    CHECK(restore_and_wait(std::move(copy)));
+    for (auto& one : processes)
+        CHECK(!one->config.current()->in_service("h2", "gor-a"));
+    auto& started = process("started"); // reads all of it from the store
+    started.config.start();
+    CHECK(run_until([&] { return started.config.current() != nullptr; }, seconds{2}));
+    CHECK(!started.config.current()->in_service("h2", "gor-a"));
+}
+
+// Guards against watchers that ask the store again at once, for ever, for a key that it does not have.
+TEST(restored_config, a_store_that_lost_the_whole_configuration_gets_it_again)
+{
+    auto copy = key_value_table::store_copy{};
+    takes_out("h1");
+    takes_out("h2");
+    CHECK(restore_and_wait(std::move(copy)));
+    CHECK(store.calls["watch"] < 100);
+}
+
+// Guards against a change on top of the older copy, which would drop what the store lost.
+TEST(restored_config, a_change_right_after_the_restore_keeps_what_was_lost)
+{
+    takes_out("h1");
+    auto copy = store.copy();
+    takes_out("h2");
+    store.restore(std::move(copy));
+    takes_out("h3");
+    CHECK(run_until([&] { return all_in_force(store_revision{2, 1}.ordered()); }, seconds{4}));
+    for (auto& one : processes)
+        for (auto const* host : {"h1", "h2", "h3"})
+            CHECK(!one->config.current()->in_service(host, "gor-a"));
+}
+
 // ---- status
 
 TEST(config_distribution, status_lists_unconfirmed_failure_domains_and_hosts)
