--- a/include/hibiscuswall/weights/fencing.hpp
+++ b/include/hibiscuswall/weights/fencing.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Fencing numbers of a host: a counter in the key-value service, raised by compare-and-swap, behind the era of
-// the service. A service that was restored from a copy counts on from an older number, in a new era.
+// Fencing numbers of a host: a counter in the key-value service, raised by compare-and-swap, behind the era
+// of the service. A service that was restored from a copy counts on from an older number, in a new era.
 //
 //   auto number = co_await next_fencing_number(store, "host-1");
 //
