Write claims again that a restored store lost, and give no lost key to another call meanwhile

A booking that ran is run again: the store came back from a copy without its claim, and a repeat with the same Idempotency-Key finds none.

Cause: the claim in the store is the only record that a key was used.

Why this works: each entry keeps the claims that it wrote in the last 60 s (calls/claim_memory, 4,096 at most) and writes them again once it knows of a later era of the store, where the key has no claim. For 3 s from then on it gives no key without a claim to a call: claim_unavailable, not run.

Tests: restored_claims.* fail without the waiting time (the repeat gets the key).

--- /dev/null
+++ b/include/hibiscuswall/calls/claim_memory.hpp
@@ -0,0 +1,60 @@
+#pragma once
+// The claims that this process wrote lately, for a store that comes back from a copy which lacks them. No
+// network, no clock.
+//
+//   auto memory = claim_memory{};
+//   memory.on_written(key, claim, now);
+//   memory.on_era(store.era(), now);               // with each response of the store
+//   if (memory.may_lack_claims(now)) reject();     // a key without a claim may have one that was lost
+//   for (auto const& lost : memory.take_lost(now)) ...    // once after a restore: to be written again
+//
+// Every entry writes its own claims again. Until each has noticed the restore and done so, a key without a
+// claim must not be claimed by another call.
+
+#include "hibiscuswall/calls/claim_bucket.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hibiscuswall {
+
+struct kept_claim {
+    std::string key;
+    claim value;
+};
+
+class claim_memory {
+public:
+    // Records a claim as it was last written. Of many, the oldest are forgotten.
+    auto on_written(std::string const& key, claim const& value, time_point now) -> void;
+
+    // Records the store's era; a later one than before means that it was restored.
+    auto on_era(std::uint64_t era, time_point now) -> void;
+
+    // Whether the store was restored so lately that claims of other processes may not be written again.
+    [[nodiscard]] auto may_lack_claims(time_point now) const -> bool;
+
+    // The claims that a restored store may have lost, once after each restore; empty at other times.
+    auto take_lost(time_point now) -> std::vector<kept_claim>;
+
+private:
+    struct written_claim {
+        claim value;
+        time_point written_at;
+    };
+
+    auto forget_old(time_point now) -> void;
+
+    std::map<std::string, written_claim, std::less<>> written_; // by key
+    std::deque<std::pair<time_point, std::string>> order_;      // of the writes, oldest first
+    std::uint64_t era_ = 0;                                     // 0: the store has named none yet
+    std::optional<time_point> restored_at_;
+    bool is_taken_ = true; // the claims that the latest restore lost
+};
+
+} // namespace hibiscuswall
--- a/include/hibiscuswall/calls/claim_store.hpp
+++ b/include/hibiscuswall/calls/claim_store.hpp
@@ -7,11 +7,15 @@
 //   if (holder.value().call_id == new_claim.call_id) send();     // this call holds the key
 //   else resolve(holder.value());                                // an earlier call holds the key
 //
+// A store that was restored from a copy has lost claims. Each process writes its own again (run_rewrites());
+// for some seconds, a key without a claim cannot be acquired.
+//
 // A compare-and-swap whose response was lost is retried after a read: the claim's call_id shows whether it
 // took effect. Operations that arrive for a bucket during a compare-and-swap are written together in the next
 // one.
 
 #include "hibiscuswall/calls/claim_bucket.hpp"
+#include "hibiscuswall/calls/claim_memory.hpp"
 #include "hibiscuswall/core/random_source.hpp"
 #include "hibiscuswall/core/settings_reader.hpp"
 #include "hibiscuswall/observe/metrics.hpp"
@@ -60,6 +64,9 @@
     auto acquire(std::string key, claim new_claim, std::string replaceable_call_id)
         -> asio::awaitable<result<claim>>;
 
+    // Writes this process's claims again after the store was restored. Runs until the io_context stops.
+    auto run_rewrites() -> asio::awaitable<void>;
+
     // Records how the call ended if its claim still holds the key. A response that is too large or not UTF-8
     // is not stored.
     auto finish(std::string key, std::string call_id, claim_state state,
@@ -82,11 +89,14 @@
     auto compare_and_swap(std::string bucket_key, claim_bucket bucket, std::uint64_t revision)
         -> asio::awaitable<result<std::uint64_t>>;
     auto back_off(int attempt) -> asio::awaitable<void>;
+    auto rewrite(kept_claim lost) -> asio::awaitable<void>;
+    auto reject_doubtful(operations const& batch, claim_bucket const& bucket, time_point now) const -> void;
 
     key_value_client& store_;
     claim_settings settings_;
     metrics& metrics_registry_;
     random_source& random_;
+    claim_memory memory_;
     std::map<std::string, bucket_queue> queues_; // By bucket key; only buckets with operations.
 };
 
--- a/src/calls/call_handler.cpp
+++ b/src/calls/call_handler.cpp
@@ -3,6 +3,7 @@
 #include "call_run.hpp"
 
 #include "hibiscuswall/http/error_body.hpp"
+#include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -110,6 +111,9 @@
     state_->members.subscribe([refresh](member const& /*changed*/) { refresh(); });
     refresh();
     asio::co_spawn(state_->context.io, state_->probe_loop(), asio::detached);
+    start_loop(
+        state_->context.io.get_executor(), "claims",
+        [shared = state_] { return shared->claims.run_rewrites(); }, &state_->context.metrics_registry);
 }
 
 auto call_handler::in_flight() const -> std::size_t { return state_->in_flight; }
--- /dev/null
+++ b/src/calls/claim_memory.cpp
@@ -0,0 +1,56 @@
+#include "hibiscuswall/calls/claim_memory.hpp"
+
+namespace hibiscuswall {
+namespace {
+
+constexpr auto kept_time = seconds{60}; // longer than the age of a copy from which a store is restored
+constexpr auto max_kept = std::size_t{4'096};
+// Until every entry has heard of the restore by the configuration that is written again, and its claims are
+// written.
+constexpr auto rewrite_time = milliseconds{3'000};
+
+} // namespace
+
+auto claim_memory::on_written(std::string const& key, claim const& value, time_point now) -> void
+{
+    written_[key] = {value, now};
+    order_.emplace_back(now, key);
+    forget_old(now);
+}
+
+auto claim_memory::forget_old(time_point now) -> void
+{
+    while (!order_.empty() && (now - order_.front().first > kept_time || order_.size() > max_kept)) {
+        auto const found = written_.find(order_.front().second);
+        if (found != written_.end() && found->second.written_at == order_.front().first)
+            written_.erase(found);
+        order_.pop_front();
+    }
+}
+
+auto claim_memory::on_era(std::uint64_t era, time_point now) -> void
+{
+    if (era <= era_) return;
+    if (era_ > 0) {
+        restored_at_ = now;
+        is_taken_ = false;
+    }
+    era_ = era;
+}
+
+auto claim_memory::may_lack_claims(time_point now) const -> bool
+{
+    return restored_at_ && now - *restored_at_ < rewrite_time;
+}
+
+auto claim_memory::take_lost(time_point now) -> std::vector<kept_claim>
+{
+    auto lost = std::vector<kept_claim>{};
+    if (std::exchange(is_taken_, true)) return lost;
+    forget_old(now);
+    for (auto const& [key, written] : written_)
+        lost.push_back({key, written.value});
+    return lost;
+}
+
+} // namespace hibiscuswall
--- a/src/calls/claim_operation.hpp
+++ b/src/calls/claim_operation.hpp
@@ -24,6 +24,7 @@
     // ---- to acquire a claim
     std::optional<claim> new_claim;  // None: this operation finishes a claim.
     std::string replaceable_call_id; // call_id of a claim that may be overwritten; empty: none.
+    bool is_rewrite = false;         // This process had written the claim before the store was restored.
 
     // ---- to finish a claim
     std::string call_id;
--- a/src/calls/claim_store.cpp
+++ b/src/calls/claim_store.cpp
@@ -4,6 +4,7 @@
 
 #include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/core/sleep.hpp"
+#include "hibiscuswall/observe/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -14,6 +15,8 @@
 namespace hibiscuswall {
 namespace {
 
+constexpr auto era_poll_interval = milliseconds{100};
+
 // A bucket is JSON, which holds text only: a response that is not UTF-8 is not stored.
 auto is_utf8(std::string const& body) -> bool
 {
@@ -165,6 +168,9 @@
                                              "stored responses; the change was not written"));
         co_return;
     }
+    auto claims = std::vector<kept_claim>{};
+    for (auto const& operation : changing)
+        if (auto const* held = bucket.find(operation->key)) claims.push_back({operation->key, *held});
     auto written = co_await compare_and_swap(bucket_key, std::move(bucket), revision);
     if (!written) {
         // A conflict may be with an earlier write of this process whose response was lost; the next read
@@ -172,10 +178,28 @@
         record_failure(changing, written.error());
         co_return;
     }
+    for (auto const& each : claims)
+        memory_.on_written(each.key, each.value, clock::now());
     for (auto const& operation : changing)
         operation->outcome = operation->holder;
 }
 
+// Decides for keys that have no claim: one may have been lost.
+auto claim_store::reject_doubtful(operations const& batch, claim_bucket const& bucket, time_point now) const
+    -> void
+{
+    if (!memory_.may_lack_claims(now)) return;
+    for (auto const& operation : batch) {
+        auto const is_new = operation->new_claim && !operation->is_rewrite;
+        if (!is_new || bucket.find(operation->key) != nullptr) continue;
+        metrics_registry_.count("claims_rejected_after_restore_total");
+        operation->outcome =
+            fail(result_code::claim_unavailable,
+                 "the store was restored from a copy; until lost claims are written again, nobody knows "
+                 "whether a call with this key has run");
+    }
+}
+
 // Does one read and at most one compare-and-swap for the operations that are waiting when the read is
 // complete. They may be newer than the read: the compare-and-swap protects a new claim, and the call of a
 // stale holder is resolved like that of any other.
@@ -187,7 +211,12 @@
     auto batch = operations(queue.waiting.begin(), queue.waiting.begin() + count);
     if (contents) {
         auto bucket = std::move(contents.value().first);
-        auto changing = apply_all(batch, bucket);
+        auto const now = clock::now();
+        memory_.on_era(store_.era(), now);
+        reject_doubtful(batch, bucket, now);
+        auto open = batch;
+        std::erase_if(open, [](operation_ptr const& operation) { return operation->outcome.has_value(); });
+        auto changing = apply_all(open, bucket);
         if (!changing.empty())
             co_await write_bucket(bucket_key, std::move(bucket), contents.value().second, std::move(changing),
                                   queue);
@@ -267,6 +296,35 @@
     co_return co_await submit(std::move(operation));
 }
 
+auto claim_store::run_rewrites() -> asio::awaitable<void>
+{
+    while (true) {
+        co_await sleep_for(era_poll_interval);
+        auto const now = clock::now();
+        memory_.on_era(store_.era(), now);
+        auto lost = memory_.take_lost(now);
+        if (lost.empty()) continue;
+        log_event(log_level::warning, "claims_rewritten", {{"claims", std::to_string(lost.size())}});
+        for (auto& each : lost)
+            co_await rewrite(std::move(each));
+    }
+}
+
+// A claim that is there stays as it is: the copy has it, or another call took the key meanwhile.
+auto claim_store::rewrite(kept_claim lost) -> asio::awaitable<void>
+{
+    auto const executor = co_await asio::this_coro::executor;
+    auto operation = std::make_shared<claim_operation>(executor);
+    operation->key = std::move(lost.key);
+    operation->new_claim = std::move(lost.value);
+    operation->is_rewrite = true;
+    auto const call_id = operation->new_claim->call_id;
+    auto const holder = co_await submit(std::move(operation));
+    if (holder && holder.value().call_id == call_id) co_return;
+    auto const reason = holder ? "the key is held by call " + holder.value().call_id : holder.error().message;
+    log_event(log_level::error, "claim_not_rewritten", {{"call", call_id}, {"reason", reason}});
+}
+
 auto claim_store::finish(std::string key, std::string call_id, claim_state state,
                          std::optional<claim_response> response) -> asio::awaitable<result<void>>
 {
--- a/tests/integration/claim_store_test.cpp
+++ b/tests/integration/claim_store_test.cpp
@@ -216,3 +216,63 @@
     CHECK_EQUAL(1, ended);
     CHECK_EQUAL(2, store.writes[bucket]);
 }
+
+// ---- a store that comes back from an older copy
+
+// Guards against a booking that runs twice, since the store lost the claim of the call that ran. Two entries,
+// each with a client of its own.
+TEST_GROUP_BASE(restored_claims, claim_store_fixture)
+{
+    http_client other_client{io, nullptr};
+    key_value_client other_kv{other_client, {store.where}, milliseconds{500}};
+    claim_store ran{kv, settings, context.metrics_registry, context.random};
+    claim_store repeats{other_kv, settings, context.metrics_registry, context.random};
+    key_value_table::store_copy copy;
+
+    void setup() override
+    {
+        claim_store_fixture::setup();
+        keys.resize(1);
+        store.era = 1;
+        copy = store.copy();
+        asio::co_spawn(io, ran.run_rewrites(), asio::detached);
+        asio::co_spawn(io, repeats.run_rewrites(), asio::detached);
+        CHECK(held_by(acquire(ran, "first"), "first0"));
+    }
+    auto acquire(claim_store & claims, std::string const& id)->std::optional<result<claim>>
+    {
+        auto results = acquisitions{};
+        begin(claims, id, results);
+        wait_for(results);
+        return results.front();
+    }
+    auto run_for(milliseconds time)->void
+    {
+        io.restart();
+        io.run_for(time);
+    }
+};
+
+TEST(restored_claims, a_claim_that_the_store_lost_is_not_given_to_another_call)
+{
+    CHECK(held_by(acquire(repeats, "x"), "first0")); // the other entry has called the store before
+    store.restore(copy);
+    auto const repeated = acquire(repeats, "second");
+    CHECK(repeated->has_error() && repeated->error().code == result_code::claim_unavailable);
+
+    kv.learn_era(2); // as the configuration tells
+    run_for(milliseconds{300});
+    CHECK(stored().find(keys.front()) != nullptr);
+    CHECK(held_by(acquire(repeats, "third"), "first0"));
+}
+
+TEST(restored_claims, other_keys_can_be_claimed_again_after_some_seconds)
+{
+    CHECK(held_by(acquire(repeats, "x"), "first0"));
+    store.restore(copy);
+    kv.learn_era(2);
+    keys.front() = claim_key("guild", "another");
+    CHECK(acquire(repeats, "second")->has_error());
+    run_for(milliseconds{3'100});
+    CHECK(held_by(acquire(repeats, "third"), "third0"));
+}
