Tests: the division of a rate limit moves between senders soon after the limit is named

Suspected by reading was rate_divider, which lets calls pass that were sent before the limit was known, again when the division moves.

--- a/tests/support/rate_fleet.hpp
+++ b/tests/support/rate_fleet.hpp
@@ -62,6 +62,9 @@
         if (sender == 0) start_divider();
     }
 
+    // Another process divides from now on, without what the one before knew. All processes go on.
+    auto move_division() -> void { start_divider(); }
+
     // Only the process that divides stands still or is gone; the others go on.
     static constexpr auto divider = 0;
 
--- a/tests/unit/rate_division_test.cpp
+++ b/tests/unit/rate_division_test.cpp
@@ -158,6 +158,29 @@
             }
 }
 
+// Guards against calls that are let pass a second time, as sent before the limit was known, when the division
+// moves to another sender soon after the endpoint named its limit.
+TEST(rate_division, a_sender_that_takes_the_division_over_lets_nothing_pass_again)
+{
+    for (auto const limit : limits)
+        for (auto const senders : {1, 2, 6, 24})
+            for (auto seed = std::uint64_t{1}; seed <= 8 * seeds; ++seed) {
+                auto const settings = rate_fleet_settings{limit, senders, 0.05};
+                auto fleet = rate_fleet{settings, seed};
+                auto random = random_source{seed};
+                auto const demand = limit * (1.2 + 3 * random.fraction());
+                fleet.set_demand(demand_of(demand_shape::few, senders, demand, 0));
+                fleet.run(settings.named_at);
+                for (auto moves = random.below(6) + 1; moves > 0; --moves) {
+                    fleet.run(milliseconds{100 + static_cast<long long>(random.below(1'800))});
+                    fleet.move_division();
+                }
+                fleet.run(milliseconds{8'000});
+                check_bound(fleet, "limit " + std::to_string(limit) + ", senders " + std::to_string(senders),
+                            seed);
+            }
+}
+
 // Guards against an endpoint that named 0 once and is never called again, so that it cannot take it back.
 TEST(rate_division, an_endpoint_that_takes_no_calls_is_asked_now_and_then)
 {
