--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -2,12 +2,10 @@
 #include "hibiscuswall/daemon/daemon_base.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
 #include "hibiscuswall/fleet/agent_list.hpp"
-#include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/entry_directory.hpp"
 #include "hibiscuswall/fleet/entry_registration.hpp"
 #include "hibiscuswall/fleet/load_report_channel.hpp"
-#include "hibiscuswall/fleet/operator_lag.hpp"
-#include "hibiscuswall/fleet/operator_sync.hpp"
+#include "hibiscuswall/fleet/operator_follower.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
 #include "hibiscuswall/fleet/quarantine_exchange.hpp"
 #include "hibiscuswall/fleet/quarantine_routes.hpp"
@@ -16,7 +14,6 @@
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
 #include "platform/endpoint_records.hpp"
-#include "platform/operator_documents.hpp"
 
 #include <algorithm>
 
@@ -58,14 +55,11 @@
     http_router ready_routes;
     http_server caller_server;
     http_server ready_server;
-    prefix_watcher operators;
-    declaration_watch declarations;
+    operator_follower operators;
     prefix_watcher listing;
     entry_directory directory;
     entry_registration registration;
     prefix_watcher directory_watcher;
-    operator_sync exchange;
-    operator_lag lag;
     std::map<std::string, std::uint64_t> known_versions; // newest declared weights by model
     bool has_listing = false;                            // endpoints were read once
     int shared_count = 0; // entries among which endpoints and limits were last shared
@@ -94,21 +88,13 @@
                                                                settings.relay},
           caller_server{base.context().io, caller_routes, nullptr, server_limits({})},
           ready_server{base.context().io, ready_routes, nullptr, {}},
-          operators{store, base.context().random, std::string{platform::operator_prefix},
-                    operator_settings(watch_wait(settings.settle_time, milliseconds{0})), operator_events()},
-          declarations{store, base.context().random, declared, base.pauses(), &operators},
+          operators{base.context(), store, declared, loads, base.pauses(), settings.settle_time},
           listing{store, base.context().random, std::string{platform::endpoint_prefix},
                   listing_settings(watch_wait(settings.settle_time, min_gather)), listing_events()},
           directory{{}, listing_of(settings.self)}, registration{store, base.context().random,
                                                                  listing_of(settings.self)},
           directory_watcher{store, base.context().random, std::string{entry_prefix}, directory_settings(),
                             directory_events()},
-          exchange{base.context(),
-                   declared,
-                   operator_scope::all,
-                   [this] { return declarations.complete_until(); },
-                   [this](time_point now) { return loads.newer_peers(now); },
-                   [this](time_point now) { return loads.newer_weights_peers(now); }},
           settle_time{settings.settle_time}, stop_time{settings.stop_time}
     {
         caller_routes.add("*", "/", [this](http_request const& request, http_responder& out) {
@@ -166,14 +152,6 @@
         return settings;
     }
 
-    auto operator_settings(milliseconds wait) const -> prefix_watcher_settings
-    {
-        auto settings = prefix_watcher_settings{};
-        settings.wait = wait;
-        settings.pauses = &base.pauses();
-        return settings;
-    }
-
     static auto directory_settings() -> prefix_watcher_settings
     {
         auto settings = prefix_watcher_settings{};
@@ -236,47 +214,6 @@
         }
     }
 
-    // Tells how old what operators declared is at this entry, compared with the newest change that it has
-    // heard of.
-    auto run_lag_checks() -> asio::awaitable<void>
-    {
-        auto is_late = false;
-        while (true) {
-            co_await sleep_for(lag_check_interval);
-            auto const now = clock::now();
-            lag.on_heard(loads.peer_revision(), now);
-            auto const was_behind = lag.on_known(declared.revision(), now);
-            auto const behind = lag.behind_for(now);
-            if (!is_late && behind >= min_logged_lag) log_lag("operators_behind", behind);
-            if (was_behind && *was_behind >= min_logged_lag) log_lag("operators_caught_up", *was_behind);
-            is_late = behind >= min_logged_lag;
-            set_lag_metrics(behind, now);
-        }
-    }
-
-    auto log_lag(std::string_view event, clock::duration behind) -> void
-    {
-        auto const version = declared.map() == nullptr ? 0 : declared.map()->version();
-        log_event(log_level::warning, event,
-                  {{"behind_ms", milliseconds_text(behind)},
-                   {"version", std::to_string(version)},
-                   {"revision", std::to_string(declared.revision())},
-                   {"newest_revision", std::to_string(lag.newest())},
-                   {"confirmed_ms_ago", milliseconds_text(clock::now() - operators.complete_until())}});
-    }
-
-    auto set_lag_metrics(clock::duration behind, time_point now) -> void
-    {
-        auto& registry = base.context().metrics_registry;
-        auto const in_seconds = [](clock::duration span) {
-            return std::chrono::duration<double>(span).count();
-        };
-        registry.set("operators_behind_seconds", {}, in_seconds(behind));
-        if (declared.map() == nullptr) return;
-        registry.set("configuration_version", {}, static_cast<double>(declared.map()->version()));
-        registry.set("operators_confirmed_age_seconds", {}, in_seconds(now - operators.complete_until()));
-    }
-
     // Old marks of crashes no longer count.
     auto run_quarantine_checks() -> asio::awaitable<void>
     {
@@ -303,18 +240,6 @@
         }
     }
 
-    auto operator_events() -> prefix_watcher_callbacks
-    {
-        return {[this](store_range const& found, bool /*store_was_unavailable*/) {
-                    auto const now = clock::now();
-                    declared.replace(platform::operator_prefix, found.items, found.revision, now,
-                                     operators.changed_since(), operators.absent(now));
-                },
-                [this](store_change const& change, bool /*store_was_unavailable*/) {
-                    declared.apply(change, clock::now(), operators.changed_since());
-                }};
-    }
-
     auto listing_events() -> prefix_watcher_callbacks
     {
         return {[this](store_range const& found, bool away) { take_listing(found, away); },
@@ -404,8 +329,6 @@
         auto const start = [&](char const* name, std::function<asio::awaitable<void>()> loop) {
             start_loop(io.get_executor(), name, std::move(loop), &base.context().metrics_registry);
         };
-        start("operators", [this] { return operators.run(); });
-        start("declarations", [this] { return declarations.run(); });
         start("endpoints", [this] { return listing.run(); });
         start("registration", [this] { return registration.run(); });
         start("entries", [this] { return directory_watcher.run(); });
@@ -414,11 +337,9 @@
         start("quarantine_exchange", [this] { return quarantine_peers.run(); });
         start("quarantine_store", [this] { return quarantine_storage.run(); });
         start("stall_checks", [this] { return run_stall_checks(); });
-        start("operator_lag", [this] { return run_lag_checks(); });
-        start("operator_sync", [this] { return exchange.run(); });
-        start("weights_sync", [this] { return exchange.run_weights(); });
         start("rate_limits", [this] { return rate_limits.run(); });
         start("relay", [this] { return relay.run_maintenance(); });
+        operators.start();
         return success();
     }
 };
