Split the load report channel by its two ends, with one socket for both

They are fleet/load_report_receiver and fleet/load_report_sender now, over fleet/datagram_socket. Nothing else changes.

--- a/include/hibiscuswall/fleet/load_report_channel.hpp
+++ b/include/hibiscuswall/fleet/load_report_receiver.hpp
@@ -1,14 +1,14 @@
 #pragma once
-// UDP datagrams on the peer address of each daemon: subscriptions from entries to agents, load reports back,
-// chunk holdings between agents, and between entries quarantine records and messages about rate limits.
-// Agents have no configured list of entries: an entry renews its subscription at every agent every 250 ms,
-// and an agent drops it if it was not renewed for 3.5 s.
+// The entry's end of the datagrams between daemons, on its peer address: subscribes to the agents of its
+// endpoints and receives their load reports, and exchanges quarantine records and messages about rate limits
+// with other entries. Agents have no configured list of entries: an entry renews its subscription at every
+// agent every 250 ms.
 //
-//   auto receiver = load_report_receiver{io, self, endpoints, declared};    // entry
-//   auto sender = load_report_sender{io, self, declared};                   // agent
-//   receiver.start(); sender.start();
-//   sender.send_report(report, now);
+//   auto receiver = load_report_receiver{io, self, endpoints, declared};
+//   receiver.start();
+//   receiver.newer_peers(now);          // whom to ask for what operators declared
 
+#include "hibiscuswall/fleet/datagram_socket.hpp"
 #include "hibiscuswall/fleet/declared_state.hpp"
 #include "hibiscuswall/fleet/informed_peers.hpp"
 #include "hibiscuswall/membership/member.hpp"
@@ -17,11 +17,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 
 #include <functional>
-#include <map>
-#include <optional>
 #include <vector>
 
 namespace hibiscuswall {
@@ -87,13 +84,13 @@
     [[nodiscard]] auto newer_weights_peers(time_point now) const -> std::vector<address>;
 
 private:
-    auto receive() -> asio::awaitable<void>;
+    auto on_datagram(datagram const& message, datagram_endpoint const& from) -> void;
     auto subscribe() -> asio::awaitable<void>;
     auto on_report_received(load_report const& report, address const& agent) -> void;
     [[nodiscard]] auto is_of_same_region(load_report const& report) const -> bool;
     [[nodiscard]] auto has_agent(tracked_endpoint const& endpoint) const -> bool;
 
-    asio::ip::udp::socket socket_;
+    datagram_socket socket_;
     member const& self_;
     endpoint_table& endpoints_;
     declared_state& declared_state_;
@@ -109,56 +106,4 @@
     std::uint64_t peer_records_revision_ = 0;
 };
 
-class load_report_sender {
-public:
-    load_report_sender(asio::io_context& io, member const& self, declared_state& declared);
-
-    auto start() -> result<void>;
-
-    // Sends the chunk holdings of this host to the agents, except to this process.
-    auto send_holdings(chunk_holdings const& held, std::vector<member> const& agents) -> void;
-    auto on_holdings(std::function<void(chunk_holdings const&)> callback) -> void
-    {
-        on_holdings_ = std::move(callback);
-    }
-
-    // Sends the load report to the subscribers. A datagram that does not fit into the send buffer is dropped:
-    // the next report replaces it.
-    auto send_report(load_report report, time_point now) -> void;
-
-    // Peer addresses of entries that know weights declarations or a configuration that this agent lacks, in
-    // the order of entries().
-    [[nodiscard]] auto newer_peers(time_point now) const -> std::vector<address>;
-
-    // Peer addresses of the entries that subscribe to this agent: those that were heard of lately first, then
-    // those of its own region, in an order that differs between agents.
-    [[nodiscard]] auto entries(time_point now) const -> std::vector<address>;
-
-private:
-    struct subscriber {
-        time_point received_at; // when the latest subscription arrived
-        subscription latest;
-    };
-    using subscriber_map = std::map<asio::ip::udp::endpoint, subscriber>;
-
-    auto receive() -> asio::awaitable<void>;
-    using subscriber_list = std::vector<std::pair<asio::ip::udp::endpoint, subscriber const*>>;
-    [[nodiscard]] auto ranked_subscribers(time_point now) const -> subscriber_list;
-    auto set_most_current_peer(load_report& report, time_point now) const -> void;
-    auto set_newest_configuration(load_report& report, subscriber_list const& ranked) const -> void;
-    auto is_due(load_report const& report, time_point now) -> bool;
-
-    asio::ip::udp::socket socket_;
-    member const& self_;
-    declared_state& declared_state_;
-    subscriber_map subscribers_;
-    std::function<void(chunk_holdings const&)> on_holdings_;
-    bool was_idle_ = false;                // in the latest report that was sent
-    std::size_t reported_subscribers_ = 0; // at that time
-    std::uint64_t reported_version_ = 0;   // weights version at that time; 0: none
-    bool reported_limit_ = false;          // whether the engine named a rate limit at that time
-    time_point sent_at_;
-    unsigned reports_sent_ = 0; // counts the unpaused reports, to select those for other regions
-};
-
 } // namespace hibiscuswall
--- a/include/hibiscuswall/fleet/operator_follower.hpp
+++ b/include/hibiscuswall/fleet/operator_follower.hpp
@@ -8,7 +8,7 @@
 // Tells by log and metrics how old what it has is (docs/OPERATIONS.md).
 
 #include "hibiscuswall/fleet/declaration_watch.hpp"
-#include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/load_report_receiver.hpp"
 #include "hibiscuswall/fleet/operator_lag.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
--- a/include/hibiscuswall/fleet/quarantine_exchange.hpp
+++ b/include/hibiscuswall/fleet/quarantine_exchange.hpp
@@ -8,7 +8,7 @@
 //   exchange.on_change();                     // after a local change of the quarantine
 
 #include "hibiscuswall/core/timer.hpp"
-#include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/load_report_receiver.hpp"
 #include "hibiscuswall/fleet/quarantine_gossip.hpp"
 
 #include <string>
--- a/include/hibiscuswall/fleet/rate_exchange.hpp
+++ b/include/hibiscuswall/fleet/rate_exchange.hpp
@@ -9,7 +9,7 @@
 
 #include "hibiscuswall/core/process_context.hpp"
 #include "hibiscuswall/core/timer.hpp"
-#include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/load_report_receiver.hpp"
 #include "hibiscuswall/fleet/rate_coordination.hpp"
 
 #include <functional>
--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -10,7 +10,7 @@
 #include "hibiscuswall/core/rate_knowledge.hpp"
 #include "hibiscuswall/fleet/agent_directory.hpp"
 #include "hibiscuswall/fleet/declared_state.hpp"
-#include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/load_report_sender.hpp"
 #include "hibiscuswall/weights/chunk_server.hpp"
 #include "hibiscuswall/weights/engine_stage.hpp"
 #include "hibiscuswall/weights/switch_schedule.hpp"
--- a/src/daemon/direct_agent.cpp
+++ b/src/daemon/direct_agent.cpp
@@ -2,7 +2,7 @@
 #include "hibiscuswall/daemon/daemon_base.hpp"
 #include "hibiscuswall/daemon/direct_daemon.hpp"
 #include "hibiscuswall/fleet/declaration_watch.hpp"
-#include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/load_report_sender.hpp"
 #include "hibiscuswall/fleet/operator_sync.hpp"
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -4,7 +4,7 @@
 #include "hibiscuswall/fleet/agent_list.hpp"
 #include "hibiscuswall/fleet/entry_directory.hpp"
 #include "hibiscuswall/fleet/entry_registration.hpp"
-#include "hibiscuswall/fleet/load_report_channel.hpp"
+#include "hibiscuswall/fleet/load_report_receiver.hpp"
 #include "hibiscuswall/fleet/operator_follower.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
 #include "hibiscuswall/fleet/quarantine_exchange.hpp"
