Tests of hedged calls; a store's client without an address fails as before

The page of a range is asked of two attempts, whose address was taken modulo the number of addresses: with none, the process ended. Test: silent_store.a_client_without_an_address_answers_with_an_error.

--- a/tests/unit/silent_store_test.cpp
+++ b/tests/unit/silent_store_test.cpp
@@ -104,3 +104,10 @@
     auto const left = defaults.settle_time - (clock::now() - fell_silent_at);
     CHECK(run_until([&] { return known == "2"; }, std::chrono::duration_cast<milliseconds>(left)));
 }
+
+TEST(silent_store, a_client_without_an_address_answers_with_an_error)
+{
+    auto nowhere = key_value_client{client, {}, defaults.store_timeout};
+    CHECK(run_coroutine(io, nowhere.range("op/")).error().code == result_code::store_unavailable);
+    CHECK(run_coroutine(io, nowhere.find("op/config")).error().code == result_code::store_unavailable);
+}
