--- a/include/hibiscuswall/fleet/operator_follower.hpp
+++ b/include/hibiscuswall/fleet/operator_follower.hpp
@@ -20,8 +20,11 @@
     // settle_time: after a fault of the store or a link, until this entry has to be up to date.
     operator_follower(process_context& context, key_value_client& store, declared_state& declared,
                       load_report_receiver& loads, pause_detector const& pauses, milliseconds settle_time);
+    ~operator_follower() = default;
     operator_follower(operator_follower const&) = delete;
+    operator_follower(operator_follower&&) = delete;
     auto operator=(operator_follower const&) -> operator_follower& = delete;
+    auto operator=(operator_follower&&) -> operator_follower& = delete;
 
     auto start() -> void;
 
--- a/standins/support/key_value_table.cpp
+++ b/standins/support/key_value_table.cpp
@@ -274,7 +274,7 @@
     wake();
 }
 
-auto key_value_table::put(std::string const& key, std::string value) -> void
+auto key_value_table::put(std::string const& key, std::string const& value) -> void
 {
     auto const row = json{{"key", key}, {"value", encode_base64(value)}};
     apply(json::array({row}), json::array());
--- a/standins/support/key_value_table.hpp
+++ b/standins/support/key_value_table.hpp
@@ -46,7 +46,7 @@
     [[nodiscard]] auto stats() const -> nlohmann::json;
 
     // Writes a value without a call.
-    auto put(std::string const& key, std::string value) -> void;
+    auto put(std::string const& key, std::string const& value) -> void;
 
     // Waiting watches look again: after a change of entries, of down or of compacted.
     auto wake() -> void;
--- a/tests/unit/silent_store_test.cpp
+++ b/tests/unit/silent_store_test.cpp
@@ -25,7 +25,7 @@
 
     void setup() override { settings.wait = milliseconds{200}; }
 
-    auto put(std::string value)->void { store.put("op/config", std::move(value)); }
+    auto put(std::string const& value)->void { store.put("op/config", value); }
 
     auto start_watcher()->void
     {
