Tests: keep a decoded configuration as long as its route is looked at

The address sanitizer showed that a test of unread_configuration read a route of a map that was gone.

--- a/tests/unit/service_map_test.cpp
+++ b/tests/unit/service_map_test.cpp
@@ -202,7 +202,8 @@
         auto const text = path.to_string();
         if (text == "/routes/1" || text == "/routes/1/host" || text == "/routes/1/prefix") continue;
         for (auto const& document : variants_of(path)) {
-            auto const* found = loaded(document)->route("a.example", "/split/x");
+            auto const map = loaded(document);
+            auto const* found = map->route("a.example", "/split/x");
             CHECK_TEXT(found != nullptr, document.dump().c_str());
             CHECK(found->max_attempts >= 0 && found->max_attempts <= 1'000'000'000);
             CHECK(found->timeout >= milliseconds{0} && found->timeout <= max_duration);
