--- a/tests/support/run_coroutine.hpp
+++ b/tests/support/run_coroutine.hpp
@@ -2,12 +2,16 @@
 // Runs a coroutine on an io_context until it is done and gives its value.
 //
 //   auto answer = run_coroutine(io, client.fetch(where, request));
+//   auto const in_time = run_until(io, [&] { return done; }, milliseconds{500});
+
+#include "hibiscuswall/core/time.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -26,4 +30,15 @@
     return std::move(*value);
 }
 
+// Runs the io_context until the condition holds or the time is over; returns whether it holds.
+inline auto run_until(boost::asio::io_context& io, std::function<bool()> const& condition, milliseconds bound)
+    -> bool
+{
+    auto const end = clock::now() + bound;
+    io.restart();
+    while (!condition() && clock::now() < end)
+        io.run_one_for(milliseconds{5});
+    return condition();
+}
+
 } // namespace hibiscuswall
--- a/tests/unit/operator_sync_test.cpp
+++ b/tests/unit/operator_sync_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/store_revision.hpp"
 
 #include "support/port_pool.hpp"
+#include "support/run_coroutine.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -77,14 +78,6 @@
         self.applies(1, 10);
         asio::co_spawn(io, self.sync.run(), asio::detached);
     }
-    auto run_until(std::function<bool()> const& condition, milliseconds bound)->bool
-    {
-        auto const end = clock::now() + bound;
-        io.restart();
-        while (!condition() && clock::now() < end)
-            io.run_one_for(milliseconds{5});
-        return condition();
-    }
     auto hears_of(std::uint64_t revision, std::vector<address> peers)->void
     {
         self.named = std::move(peers);
@@ -93,7 +86,8 @@
     // Within the time in which a configuration has to be in force, less what load reports take.
     auto gets(std::uint64_t version)->bool
     {
-        return run_until([&] { return self.version() == version; }, milliseconds{1'100});
+        return run_until(
+            io, [&] { return self.version() == version; }, milliseconds{1'100});
     }
 };
 
@@ -108,7 +102,8 @@
     // The next one is not asked of the silent peer first.
     second.applies(3, 30);
     hears_of(30, {silent, second.where});
-    CHECK(run_until([&] { return self.version() == 3; }, milliseconds{700}));
+    CHECK(run_until(
+        io, [&] { return self.version() == 3; }, milliseconds{700}));
 }
 
 TEST(operator_sync, a_peer_that_refuses_the_connection_does_not_either)
@@ -131,7 +126,8 @@
 {
     second.applies(2, 20);
     hears_of(10, {second.where});
-    CHECK_FALSE(run_until([&] { return self.version() == 2; }, milliseconds{700}));
+    CHECK_FALSE(run_until(
+        io, [&] { return self.version() == 2; }, milliseconds{700}));
 }
 
 // A store that was restored names an older configuration, under a newer revision. Guards against a process
--- a/tests/unit/silent_store_test.cpp
+++ b/tests/unit/silent_store_test.cpp
@@ -39,24 +39,19 @@
         watcher = std::make_unique<prefix_watcher>(kv, random, "op/", settings,
                                                    prefix_watcher_callbacks{on_range, on_change});
         asio::co_spawn(io, watcher->run(), asio::detached);
-        CHECK(run_until([&] { return known == "1"; }, milliseconds{2'000}));
-    }
-    auto run_until(std::function<bool()> const& condition, milliseconds bound)->bool
-    {
-        auto const end = clock::now() + bound;
-        io.restart();
-        while (!condition() && clock::now() < end)
-            io.run_one_for(milliseconds{5});
-        return condition();
+        CHECK(run_until(
+            io, [&] { return known == "1"; }, milliseconds{2'000}));
     }
     auto pause_until_a_range_is_sent()->void
     {
         auto const before = store.calls["list"];
-        CHECK(run_until([&] { return store.calls["list"] > before; }, milliseconds{8'000}));
+        CHECK(run_until(
+            io, [&] { return store.calls["list"] > before; }, milliseconds{8'000}));
     }
     auto is_up_to_date_in_time(std::string const& value)->bool
     {
-        return run_until([&] { return known == value; }, defaults.settle_time);
+        return run_until(
+            io, [&] { return known == value; }, defaults.settle_time);
     }
 };
 
@@ -95,14 +90,17 @@
     store.unanswered = 0;
     start_watcher();
     store.silent = true; // the watch that waits now
-    run_until([] { return false; }, milliseconds{20});
+    run_until(
+        io, [] { return false; }, milliseconds{20});
     auto const fell_silent_at = clock::now();
     put("2");
-    run_until([] { return false; }, milliseconds{20});
+    run_until(
+        io, [] { return false; }, milliseconds{20});
     store.silent = false;
     store.unanswered = 1;
     auto const left = defaults.settle_time - (clock::now() - fell_silent_at);
-    CHECK(run_until([&] { return known == "2"; }, std::chrono::duration_cast<milliseconds>(left)));
+    CHECK(run_until(
+        io, [&] { return known == "2"; }, std::chrono::duration_cast<milliseconds>(left)));
 }
 
 TEST(silent_store, a_client_without_an_address_answers_with_an_error)
