--- a/models/experiments/swarm_experiment.cpp
+++ b/models/experiments/swarm_experiment.cpp
@@ -20,6 +20,11 @@
 
 namespace {
 
+constexpr auto outage_begin = milliseconds{2'500};
+constexpr auto outage_end = milliseconds{8'500};
+constexpr auto cut_begin = milliseconds{500};
+constexpr auto cut_share = 0.3;
+
 struct variant {
     std::string label;
     std::function<void(swarm_settings&)> change;
@@ -41,9 +46,9 @@
 
 auto in_trouble(swarm_settings settings) -> swarm_settings
 {
-    settings.origin_away = {milliseconds{2'500}, milliseconds{8'500}};
-    settings.cut = {milliseconds{500}, milliseconds{8'500}};
-    settings.cut_share = 0.3;
+    settings.origin_away = {outage_begin, outage_end};
+    settings.cut = {cut_begin, outage_end};
+    settings.cut_share = cut_share;
     return settings;
 }
 
@@ -65,20 +70,25 @@
     return {*min, *max};
 }
 
+// Whether all chunks had left the origin when its outage begins.
+auto is_out_in_time(swarm_result const& result, std::size_t chunks) -> bool
+{
+    return result.known_at.size() == chunks && result.known_at.back() < outage_begin;
+}
+
 auto print_row(std::string const& label, std::vector<swarm_result> const& results) -> void
 {
     auto const whole = [](double share) {
         return [share](swarm_result const& each) { return seconds_of(each.whole_share_at(share)); };
     };
-    auto const out = [](swarm_result const& each) {
-        return static_cast<double>(std::count_if(each.known_at.begin(), each.known_at.end(),
-                                                 [](auto at) { return at < milliseconds{2'500}; }));
-    };
-    std::printf("| %s |", label.c_str());
-    for (auto const& column : {range_of(results, out), range_of(results, whole(1e-9)),
-                               range_of(results, whole(0.5)), range_of(results, whole(1)),
-                               range_of(results, [](auto const& each) { return each.origin_copies; })})
-        std::printf(" %.4g to %.4g |", column.min, column.max);
+    auto const copies = [](swarm_result const& each) { return each.origin_copies; };
+    auto const out = std::count_if(results.begin(), results.end(), [](swarm_result const& each) {
+        return is_out_in_time(each, swarm_settings{}.chunks);
+    });
+    std::printf("| %s | %td of %zu |", label.c_str(), out, results.size());
+    for (auto const& column : {range_of(results, whole(1e-9)), range_of(results, whole(0.5)),
+                               range_of(results, whole(1)), range_of(results, copies)})
+        std::printf(" %.3g to %.3g |", column.min, column.max);
     std::printf("\n");
 }
 
@@ -108,9 +118,10 @@
         }
         auto plot =
             line_plot{"Agents that hold the whole version, in the model", "s after the naming", "share"};
-        if (given.count("hurt") > 0) plot.marks = {2.5, 8.5};
-        std::printf("| fetching from the origin | chunks out by 2.5 s | first whole, s | half, s | last, s | "
-                    "origin copies |\n|---|---|---|---|---|---|\n");
+        if (given.count("hurt") > 0) plot.marks = {seconds_of(outage_begin), seconds_of(outage_end)};
+        std::printf(
+            "| fetching from the origin | all chunks out by 2.5 s | first whole, s | half, s | last, s | "
+            "origin copies |\n|---|---|---|---|---|---|\n");
         for (auto const& each : variants()) {
             auto results = std::vector<swarm_result>{};
             for (auto seed = 1; seed <= std::max(1, given["seeds"].as<int>()); ++seed) {
