--- a/models/experiments/swarm_experiment.cpp
+++ b/models/experiments/swarm_experiment.cpp
@@ -1,9 +1,9 @@
 // Compares settings of weight transfers on the model of the swarm.
 //
-//   swarm-experiment --seeds 5 --hurt            a table: when agents are whole, copies from the origin
-//   swarm-experiment --hurt --svg FILE           and a plot of the share of whole agents over time
+//   swarm-experiment --seeds 5 --outage            a table: when agents are whole, copies from the origin
+//   swarm-experiment --outage --svg FILE           and a plot of the share of whole agents over time
 //
-// --hurt: the origin is away from 2.5 s to 8.5 s after the naming, and 30 % of the agents are cut off from
+// --outage: the origin is away from 2.5 s to 8.5 s after the naming, and 30 % of the agents are cut off from
 // 0.5 s to 8.5 s. Without it nothing fails.
 #include "models/line_plot.hpp"
 #include "models/swarm_model.hpp"
@@ -44,7 +44,7 @@
     };
 }
 
-auto in_trouble(swarm_settings settings) -> swarm_settings
+auto with_outage(swarm_settings settings) -> swarm_settings
 {
     settings.origin_away = {outage_begin, outage_end};
     settings.cut = {cut_begin, outage_end};
@@ -109,7 +109,7 @@
         auto options = cxxopts::Options{"swarm-experiment", "Weight transfers on a model of the swarm."};
         options.add_options()("seeds", "fleets modelled for each row",
                               cxxopts::value<int>()->default_value("3"))(
-            "hurt", "the origin is away, 30 % of the agents are cut off")(
+            "outage", "the origin is away, 30 % of the agents are cut off")(
             "svg", "write a plot of the first seed to this file", cxxopts::value<std::string>())("help", "");
         auto const given = options.parse(argc, argv);
         if (given.count("help") > 0) {
@@ -118,7 +118,7 @@
         }
         auto plot =
             line_plot{"Agents that hold the whole version, in the model", "s after the naming", "share"};
-        if (given.count("hurt") > 0) plot.marks = {seconds_of(outage_begin), seconds_of(outage_end)};
+        if (given.count("outage") > 0) plot.marks = {seconds_of(outage_begin), seconds_of(outage_end)};
         std::printf(
             "| fetching from the origin | all chunks out by 2.5 s | first whole, s | half, s | last, s | "
             "origin copies |\n|---|---|---|---|---|---|\n");
@@ -128,7 +128,7 @@
                 auto settings = swarm_settings{};
                 settings.plan = agent_plan_settings();
                 settings.seed = static_cast<std::uint64_t>(seed);
-                if (given.count("hurt") > 0) settings = in_trouble(settings);
+                if (given.count("outage") > 0) settings = with_outage(settings);
                 each.change(settings);
                 results.push_back(simulate(settings));
             }
--- a/models/fleet_model.cpp
+++ b/models/fleet_model.cpp
@@ -167,7 +167,7 @@
         // Calls that are already waiting have precedence.
         if (found != nullptr && entries_[entry].queue->size() == 0) return send(call, found->endpoint);
         auto const limit = wait_limit(route_, service_, settings_.prompt_tokens, settings_.waiting);
-        if (limit <= milliseconds{0}) return refuse(call);
+        if (limit <= milliseconds{0}) return count_refusal();
         begin_waiting(call, limit);
     }
 
@@ -187,13 +187,13 @@
         auto& entry = entries_[calls_[call].entry];
         auto& queue_entry = calls_[call].queue_entry;
         queue_entry.until = events_.now() + limit;
-        if (!entry.queue->add(queue_entry)) return refuse(call);
+        if (!entry.queue->add(queue_entry)) return count_refusal();
         calls_[call].waits = true;
         entry.waiting.push_back(call);
         events_.add(queue_entry.until, [this, call] {
             if (!calls_[call].waits) return;
             end_waiting(call);
-            refuse(call);
+            count_refusal();
         });
         dispatch_waiting(calls_[call].entry);
     }
@@ -218,7 +218,7 @@
         }
     }
 
-    auto refuse(std::size_t /*call*/) -> void
+    auto count_refusal() -> void
     {
         ++result_.refused;
         if (2 * running() < slots()) ++result_.refused_while_half_free;
@@ -246,7 +246,7 @@
             ++result_.rejected_by_engines;
             events_.add(events_.now() + settings_.link_delay, [this, call] {
                 end(call);
-                refuse(call);
+                count_refusal();
             });
             return;
         }
--- a/models/swarm_model.cpp
+++ b/models/swarm_model.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
