Log why a response stays incomplete, the time that was left, moves and rejected resumptions

response_incomplete now names cause, events, runs and left_ms; call_moved is written when the entry closes the connection to an endpoint that may be sound, with the reason (weights, silent); resume_rejected when an endpoint does not take a stream that another one began. No decision changes.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -104,9 +104,11 @@
                                          send_outcome const& outcome) -> void;
 
     // ---- call_log.cpp
-    auto record_end(relayed_call const& call, std::string_view outcome, int status, std::string_view reason)
+    auto record_end(relayed_call& call, std::string_view outcome, int status, std::string_view reason)
         -> void;
     auto log_incomplete(relayed_call const& call, std::string_view reason) -> void;
+    auto log_moved(relayed_call const& call, std::string_view reason, endpoint_record const& to) -> void;
+    auto log_rejected_resume(relayed_call const& call, endpoint_record const& by, int status) -> void;
 
     // ---- call_limits.cpp
     [[nodiscard]] auto priority_of(relayed_call const& call) const -> int;
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -112,6 +112,7 @@
     bool moved = false;
     bool caller_disconnected = false; // the caller has closed its connection
     bool ended_by_stop = false;       // this entry stops and ends the call
+    std::string end_reason;           // why it ended, as in the log line call_ended
 
     // ---- segments that may crash engines, see serving/prompt_quarantine
     std::optional<shared_prompt> prompt;     // decoded once it is needed
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-auto call_relay::record_end(relayed_call const& call, std::string_view outcome, int status,
+auto call_relay::record_end(relayed_call& call, std::string_view outcome, int status,
                             std::string_view reason) -> void
 {
+    call.end_reason = reason;
     auto const now = clock::now();
     auto const duration = std::chrono::duration<double>(now - call.arrived_at).count();
     auto const service = call.service == nullptr ? std::string_view{"none"} : call.service->name;
@@ -59,18 +60,48 @@
                {"newest_config_version", version_text(declared_state_.map())}});
 }
 
-// The caller's connection ends without a complete response.
+// The caller's connection ends without a complete response. The reason says how the connection ended, the
+// cause why the call did.
 auto call_relay::log_incomplete(relayed_call const& call, std::string_view reason) -> void
 {
     metrics_registry_.count("incomplete_responses");
     log_event(log_level::warning, "response_incomplete",
               {{"call", call.fields.call_id},
                {"reason", std::string{reason}},
+               {"cause", call.end_reason.empty() ? "none" : call.end_reason},
                {"written", progress_text(call.out.progress())},
+               {"events", std::to_string(call.events.count())},
                {"sends", std::to_string(call.send_count)},
+               {"runs", std::to_string(call.run_count)},
                {"total_ms", milliseconds_text(clock::now() - call.arrived_at)},
+               {"left_ms", milliseconds_text(call.deadline - clock::now())},
                {"config_version", version_text(call.map)},
                {"newest_config_version", version_text(declared_state_.map())}});
 }
 
+// This entry closes the connection to an endpoint that may be sound, so that the call goes on at another one.
+auto call_relay::log_moved(relayed_call const& call, std::string_view reason, endpoint_record const& to)
+    -> void
+{
+    log_event(log_level::info, "call_moved",
+              {{"call", call.fields.call_id},
+               {"reason", std::string{reason}},
+               {"from", call.endpoint->record.id},
+               {"to", to.id},
+               {"events", std::to_string(call.events.count())},
+               {"after_ms", milliseconds_text(clock::now() - call.sent_at)},
+               {"left_ms", milliseconds_text(call.deadline - clock::now())}});
+}
+
+// An endpoint does not take a stream whose caller has received a part of it.
+auto call_relay::log_rejected_resume(relayed_call const& call, endpoint_record const& by, int status) -> void
+{
+    log_event(log_level::warning, "resume_rejected",
+              {{"call", call.fields.call_id},
+               {"endpoint", by.id},
+               {"status", std::to_string(status)},
+               {"sends", std::to_string(call.send_count)},
+               {"left_ms", milliseconds_text(call.deadline - clock::now())}});
+}
+
 } // namespace hibiscuswall
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -227,7 +227,10 @@
                                     [&](send_failed const& each) { reason = each.reason; },
                                     [&](send_interrupted const& each) { reason = each.reason; },
                                     [](send_withheld const&) {},
-                                    [](send_rejected const&) {},
+                                    [&](send_rejected const& each) {
+                                        if (call.response_started)
+                                            log_rejected_resume(call, endpoint.record, each.status);
+                                    },
                                     [&](send_responded const&) { endpoint_table::record_success(endpoint); },
                                     [&](send_streamed const&) { endpoint_table::record_success(endpoint); }};
     std::visit(visitor, outcome);
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -61,6 +61,7 @@
     auto const* found = std::get_if<placed>(&decision);
     if (found == nullptr || !retry_budget_for(call.service->name).try_spend(now)) return false;
     call.closed_as_stalled = call.seeks_replacement;
+    log_moved(call, call.seeks_replacement ? "silent" : "weights", found->endpoint->record);
     stop_seeking_replacement(call);
     call.replacement = found->endpoint;
     call.replacement_state_at = declared_state_.changed_at();
