Leave a sound endpoint with a stream that has begun only once another has taken it

Cause: the entry closed the connection to an engine that was to change its weights, or that was silent, as soon as it had reserved a slot for the stream in its own table. That is no consent of the other engine. Where that one answered 503 (it was about to change its weights itself, was full, or waited too long), nothing was left to go back to. Class: a step that cannot be taken back, taken before its successor is secured.

Now the other endpoint is asked to resume the stream while the present one goes on. Events of the present one are held back meanwhile, because the other one continues after the last event that the caller has. With its first event the other one has taken the stream, and the connection to the present one is closed; a rejection, a failure, or no event before the pause passes the route's targetGapMs leaves the stream where it is, and the held events are passed on. A resumed stream prefers engines that have the newest weights, which will not pause next.

A stream that was moved once no longer hides later failures of its endpoints from their statistics.

Tests: moved_streams.*; before, a_stream_stays_with_an_engine_that_changes_its_weights_if_no_other_takes_it, a_silent_endpoint_goes_on_with_its_stream_if_another_rejects_it and a_stream_is_not_held_up_by_an_endpoint_that_takes_it_late failed with an incomplete body.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -36,7 +36,8 @@
     milliseconds idle_timeout{4'000};  // of a pooled connection if the endpoint sends no Keep-Alive timeout
     std::size_t max_response_bytes = 4U << 20U; // of a response that is not a stream
     response_memory_settings responses;         // of all calls together
-    int max_rejected_sends = 3; // a rejection ends the call once it has been sent this many times in total
+    // A rejection ends a call that has not begun once it has been sent this many times in total.
+    int max_rejected_sends = 3;
 };
 
 class call_relay {
@@ -100,6 +101,8 @@
 
     // ---- call_endpoint.cpp
     auto next_endpoint(relayed_call& call) -> placement;
+    static auto remember_unwilling_endpoint(relayed_call& call, tracked_endpoint const& endpoint,
+                                            send_outcome const& outcome, time_point now) -> void;
     static auto remember_lost_connection(relayed_call& call, tracked_endpoint const& endpoint,
                                          send_outcome const& outcome) -> void;
 
@@ -108,30 +111,51 @@
         -> void;
     auto log_incomplete(relayed_call const& call, std::string_view reason) -> void;
     auto log_moved(relayed_call const& call, std::string_view reason, endpoint_record const& to) -> void;
+    auto log_takeover_stopped(relayed_call const& call, stream_takeover const& takeover,
+                              std::string_view reason) -> void;
     auto log_rejected_resume(relayed_call const& call, endpoint_record const& by, int status) -> void;
 
     // ---- call_limits.cpp
     [[nodiscard]] auto priority_of(relayed_call const& call) const -> int;
     auto admit_by_priority(relayed_call& call, placement decision, time_point now) -> placement;
     auto retry_after(relayed_call const& call, rejected const& rejection, time_point now) -> milliseconds;
-    auto may_be_written(relayed_call& call, time_point now) -> bool;
-    auto record_announcements(relayed_call const& call, class endpoint_response_parser const& parser,
-                              time_point now) -> void;
+    auto may_be_written(tracked_endpoint& endpoint, std::optional<call_permit> permit, time_point now)
+        -> bool;
+    auto record_announcements(relayed_call const& call, tracked_endpoint& endpoint, time_point sent_at,
+                              class endpoint_response_parser const& parser, time_point now) -> void;
 
     // ---- call_waiting.cpp
     auto find_endpoint_or_wait(relayed_call& call) -> asio::awaitable<placement>;
     auto set_queue_entry(relayed_call& call, time_point now) -> void;
     auto wait_for_slot(relayed_call& call) -> asio::awaitable<void>;
+    auto pause(relayed_call& call, time_point until) -> asio::awaitable<void>;
+    auto pause_before_resuming(relayed_call& call) -> asio::awaitable<void>;
     auto dispatch_waiting() -> void;
     auto reserve_slot(relayed_call& call, endpoint_ptr const& endpoint) -> void;
     auto assign_endpoint(relayed_call& call, endpoint_ptr const& endpoint) -> void;
     auto release_slot(relayed_call& call) -> void;
 
+    // ---- call_takeover.cpp
+    auto begin_takeover(relayed_call& call, endpoint_ptr const& to, time_point now) -> void;
+    auto run_takeover(relayed_call& call, stream_takeover_ptr takeover) -> asio::awaitable<void>;
+    auto write_resume_request(relayed_call& call, stream_takeover& takeover) -> asio::awaitable<bool>;
+    auto on_resume_response(relayed_call& call, stream_takeover& takeover) -> void;
+    auto on_taken(relayed_call& call, stream_takeover& takeover) -> void;
+    auto stop_takeover(relayed_call& call, std::string_view reason) -> void;
+    auto check_takeover(relayed_call& call, time_point now) -> void;
+    auto send_and_follow(relayed_call& call) -> asio::awaitable<send_outcome>;
+    auto await_takeover(relayed_call& call) -> asio::awaitable<void>;
+    auto leave_endpoint(relayed_call& call, send_outcome const& outcome) -> void;
+    auto relay_taken_stream(relayed_call& call) -> asio::awaitable<send_outcome>;
+    auto pass_on(relayed_call& call, std::string_view events) -> asio::awaitable<bool>;
+    auto pass_on_held_events(relayed_call& call) -> asio::awaitable<bool>;
+
     // ---- call_replacement.cpp
     auto check_progress(relayed_call& call, time_point now) -> void;
     auto seek_replacement(relayed_call& call) -> void;
     auto stop_seeking_replacement(relayed_call& call) -> void;
     auto renew_match(relayed_call& call) -> bool;
+    auto place_elsewhere(relayed_call& call) -> placement;
     auto reserve_replacement(relayed_call& call, time_point now) -> bool;
     auto take_replacement(relayed_call& call) -> bool;
 
@@ -148,7 +172,8 @@
     auto record_prompt_progress(relayed_call& call, bool is_complete) -> void;
     auto end_after_lost_connection(relayed_call& call, endpoint_ptr endpoint, send_outcome const& outcome)
         -> asio::awaitable<bool>;
-    auto record_crash(relayed_call& call, endpoint_record record) -> asio::awaitable<void>;
+    auto record_crash(std::string call_id, crash_suspect suspect, endpoint_record record)
+        -> asio::awaitable<void>;
     auto recall_if_quarantined(relayed_call& call, time_point now) -> void;
     auto log_quarantine_changes(time_point now) -> void;
 
@@ -162,6 +187,10 @@
     auto record_unshed_call(relayed_call const& call, placement const& decision) -> void;
 
     // ---- endpoint_send.cpp
+    auto connect(endpoint_record record, bool may_be_kept, time_point deadline)
+        -> asio::awaitable<endpoint_connection_ptr>;
+    auto request_to(relayed_call const& call, tracked_endpoint const& endpoint, time_point now)
+        -> std::string;
     auto send(relayed_call& call) -> asio::awaitable<send_outcome>;
     auto exchange(relayed_call& call) -> asio::awaitable<send_outcome>;
     auto read_response(relayed_call& call, class endpoint_response_parser& parser)
--- a/include/hibiscuswall/serving/endpoint_connection.hpp
+++ b/include/hibiscuswall/serving/endpoint_connection.hpp
@@ -29,9 +29,10 @@
 
 // Why receive() returned no bytes.
 enum class connection_end {
-    closed,    // closed cleanly by the endpoint
-    reset,     // reset, or any other failure
-    timed_out, // the deadline passed
+    closed,      // closed cleanly by the endpoint
+    reset,       // reset, or any other failure
+    timed_out,   // the deadline passed
+    interrupted, // by interrupt(): the connection goes on
 };
 
 class endpoint_connection {
@@ -45,6 +46,9 @@
     auto receive(time_point deadline) -> asio::awaitable<std::string_view>;
     [[nodiscard]] auto end() const -> connection_end { return end_; }
 
+    // Makes a receive() that waits return no bytes. Nothing is lost: the next one continues.
+    auto interrupt() -> void;
+
     // Closes the socket, which makes the endpoint cancel the call. Pending operations fail.
     auto close() -> void;
 
@@ -60,6 +64,7 @@
     connection_end end_ = connection_end::closed;
     time_point idle_deadline_; // valid while the connection is in the pool
     bool reused_ = false;
+    bool receiving_ = false; // receive() waits
 };
 
 using endpoint_connection_ptr = std::shared_ptr<endpoint_connection>;
--- a/include/hibiscuswall/serving/placement.hpp
+++ b/include/hibiscuswall/serving/placement.hpp
@@ -26,6 +26,7 @@
     double first_event_cost_ms = 100;       // time to the first event that costs as much as a full endpoint
     double other_region_cost = 0.1; // added if the endpoint is in another region, as a fraction of its slots
     double not_preferred_cost = 0.15;  // added if another entry is the preferred sender, in the same unit
+    double older_weights_cost = 1.0;   // added if the weights are older than the preferred ones
     milliseconds min_retry_after{250}; // lower bound of the Retry-After of a rejection
     milliseconds max_retry_after{900}; // upper bound; retries are spread between the two
 };
@@ -37,8 +38,10 @@
     std::span<std::string const> account_regions;   // regions allowed by the client account; empty: all
     std::set<std::string> const* tried_endpoints = nullptr; // ids of endpoints to exclude; may be null
     std::uint64_t min_version = 0;                          // oldest weights version that may serve the call
-    int prompt_tokens = 0;                                  // prompt tokens to process before the first event
-    std::string_view region;                                // region of this entry
+    // Endpoints with older weights will change them soon and are chosen last; 0: none are.
+    std::uint64_t preferred_version = 0;
+    int prompt_tokens = 0;       // prompt tokens to process before the first event
+    std::string_view region;     // region of this entry
     bool is_first_search = true; // the call has not been counted as demand for limited endpoints yet
 };
 
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -9,9 +9,11 @@
 #include "hibiscuswall/serving/prompt_quarantine.hpp"
 #include "hibiscuswall/serving/response_memory.hpp"
 #include "hibiscuswall/serving/service_map.hpp"
+#include "hibiscuswall/serving/stream_takeover.hpp"
 #include "hibiscuswall/serving/wait_queue.hpp"
 #include "platform/call_headers.hpp"
 
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -74,6 +76,8 @@
     time_point deadline;          // latest time for the final response
 
     std::set<std::string> tried_endpoints; // ids of endpoints that must not get the call again
+    // Of them, those that did not take a stream that has begun, but may do so later, and when to ask again.
+    std::map<std::string, time_point> ask_again_at;
     // Id of the one that may have closed a kept connection as idle, or empty. It may get the call on a new
     // connection if no other endpoint may.
     std::string endpoint_to_reconnect;
@@ -93,7 +97,7 @@
     bool is_counted_as_demand = false; // an endpoint was searched for before
     std::optional<bool> is_taken;      // decided once, where all endpoints limit their calls
     waiter queue_entry;                // priority and deadline in the wait queue
-    clock_timer* wait_timer = nullptr; // cancelled once a slot is reserved; null while not waiting
+    clock_timer* wait_timer = nullptr; // cancelled to end the wait early; null while not waiting
     milliseconds wait_duration{0};     // total time spent waiting
 
     // ---- the current send
@@ -108,8 +112,18 @@
     bool seeks_replacement = false;         // stalled; stays at its endpoint until another can take it
     endpoint_ptr replacement; // slot reserved for the next send, its retry spent from the budget; or null
     time_point replacement_state_at; // when an operator change was last applied before the reservation
-    // Connection closed to move the stream from an engine that changes its weights; at most once per call.
-    bool moved = false;
+    // Connection closed to move a stream that has not begun from an engine that changes its weights.
+    bool closed_as_moved = false;
+    bool moved = false; // from an engine that changes its weights, at most once per call
+
+    // ---- moving a stream that has begun, see serving/stream_takeover
+    stream_takeover_ptr takeover; // under way, or null
+    std::string held_events;      // complete events of the present endpoint that the caller does not have yet
+    std::string taken_events;     // first events of the endpoint that has taken the stream, to be passed on
+    int stopped_takeovers = 0;    // without success
+    time_point next_takeover_at;  // not before
+    int rejected_resumes = 0;     // in a row
+
     bool caller_disconnected = false; // the caller has closed its connection
     bool ended_by_stop = false;       // this entry stops and ends the call
     std::string end_reason;           // why it ended, as in the log line call_ended
@@ -151,6 +165,18 @@
     }
     [[nodiscard]] auto may_run_again() const -> bool { return may_run_after(run_count); }
     [[nodiscard]] auto is_stream() const -> bool { return route->kind == call_kind::stream; }
+
+    [[nodiscard]] auto is_taken_over() const -> bool
+    {
+        return takeover != nullptr && takeover->state == takeover_state::taken;
+    }
+
+    // Whether the caller has a part of the stream, and another endpoint may still continue it.
+    [[nodiscard]] auto can_still_resume(time_point now) const -> bool
+    {
+        return response_started && may_run_again() && now < deadline && !caller_disconnected &&
+               !ended_by_stop;
+    }
 };
 
 } // namespace hibiscuswall
--- a/include/hibiscuswall/serving/wait_queue.hpp
+++ b/include/hibiscuswall/serving/wait_queue.hpp
@@ -18,12 +18,14 @@
 namespace hibiscuswall {
 
 struct wait_settings {
-    milliseconds max_wait{110};          // counted from the arrival of a call whose response has not started
-    milliseconds max_resume_wait{1'200}; // of a stream that has to resume at another endpoint
-    milliseconds engine_overhead{100};   // time to the first event without queue and prompt processing
-    milliseconds margin{40};             // subtracted from the latency target
-    double plain_wait_fraction = 0.3;    // of the target latency, for calls to plain services
-    std::size_t max_waiting = 64;        // calls in the queue; further ones are rejected at once
+    milliseconds max_wait{110}; // counted from the arrival of a call whose response has not started
+    // Of a stream that has to resume at another endpoint, until its route is looked up again.
+    milliseconds max_resume_wait{400};
+    milliseconds resume_interval{50};  // between two attempts to find it an endpoint
+    milliseconds engine_overhead{100}; // time to the first event without queue and prompt processing
+    milliseconds margin{40};           // subtracted from the latency target
+    double plain_wait_fraction = 0.3;  // of the target latency, for calls to plain services
+    std::size_t max_waiting = 64;      // calls in the queue; further ones are rejected at once
 };
 
 // How long after its arrival a call may wait for an endpoint. Zero if it would miss its latency target even
--- a/src/serving/call_endpoint.cpp
+++ b/src/serving/call_endpoint.cpp
@@ -6,28 +6,46 @@
 namespace hibiscuswall {
 namespace {
 
+// Until an endpoint that did not take a stream is asked again.
+constexpr auto ask_again_delay = milliseconds{300};
+
 auto has_no_endpoint(placement const& decision) -> bool
 {
     auto const* rejection = std::get_if<rejected>(&decision);
     return rejection != nullptr && rejection->usable == 0;
 }
 
+// Endpoints that did not take the stream at another time may take it now.
+auto forget_earlier_answers(relayed_call& call, time_point now) -> void
+{
+    std::erase_if(call.ask_again_at, [&](auto const& each) {
+        if (now < each.second) return false;
+        call.tried_endpoints.erase(each.first);
+        return true;
+    });
+}
+
 } // namespace
 
 auto call_relay::next_endpoint(relayed_call& call) -> placement
 {
+    auto const now = clock::now();
+    forget_earlier_answers(call, now);
     auto placement_request = placement_call{};
     placement_request.service = call.service->name;
     placement_request.definition = call.service;
     placement_request.route_regions = call.route->regions;
     if (call.account != nullptr) placement_request.account_regions = call.account->regions;
     placement_request.tried_endpoints = &call.tried_endpoints;
-    auto const now = clock::now();
     placement_request.prompt_tokens = call.fields.prompt_tokens;
     placement_request.region = region_;
     placement_request.is_first_search = !std::exchange(call.is_counted_as_demand, true);
-    if (call.service->engine)
-        placement_request.min_version = declared_state_.min_version(call.service->engine->model, now);
+    if (call.service->engine) {
+        auto const& model = call.service->engine->model;
+        placement_request.min_version = declared_state_.min_version(model, now);
+        if (call.response_started)
+            placement_request.preferred_version = declared_state_.newest_version(model);
+    }
     auto const candidates = endpoints_.endpoints_of_service(call.service->name);
     auto const place_call = [&] {
         return place(placement_request, candidates, declared_state_.out_of_service(), settings_.placement,
@@ -51,4 +69,14 @@
     call.needs_new_connection = true;
 }
 
+// A stream that has begun may be sent again to endpoints that did not run it. Others have failed it.
+auto call_relay::remember_unwilling_endpoint(relayed_call& call, tracked_endpoint const& endpoint,
+                                             send_outcome const& outcome, time_point now) -> void
+{
+    auto const has_run = !std::holds_alternative<send_rejected>(outcome) &&
+                         !std::holds_alternative<send_not_sent>(outcome) &&
+                         !std::holds_alternative<send_withheld>(outcome);
+    if (call.response_started && !has_run) call.ask_again_at[endpoint.record.id] = now + ask_again_delay;
+}
+
 } // namespace hibiscuswall
--- a/src/serving/call_limits.cpp
+++ b/src/serving/call_limits.cpp
@@ -9,10 +9,10 @@
 
 // Takes over what the head of a response says about the endpoint itself, for the calls that follow. That it
 // names no rate limit counts only if the response is known to be this endpoint's answer to this call.
-auto call_relay::record_announcements(relayed_call const& call, endpoint_response_parser const& parser,
+auto call_relay::record_announcements(relayed_call const& call, tracked_endpoint& endpoint,
+                                      time_point sent_at, endpoint_response_parser const& parser,
                                       time_point now) -> void
 {
-    auto& endpoint = *call.endpoint;
     auto const response = platform::decode_response(parser.status(), parser.headers());
     if (response.endpoint_leaving && !endpoint.leaving) {
         endpoint_table::record_departure(endpoint);
@@ -22,7 +22,7 @@
     auto const rate = platform::decode_rate(parser.headers());
     auto const is_own = response.call_id == call.fields.call_id && response.signed_response;
     if (is_own || !std::holds_alternative<no_rate_limit>(rate))
-        endpoints_.record_rate(endpoint, rate, call.sent_at, now);
+        endpoints_.record_rate(endpoint, rate, sent_at, now);
     if (std::holds_alternative<unreadable_rate_limit>(rate)) {
         metrics_registry_.count("unreadable_rate_limits");
         log_event(log_level::warning, "endpoint_limit_unreadable",
@@ -36,10 +36,10 @@
 
 // Checked where the request is written, which every send passes: the endpoint may have named a limit while
 // the call was connecting.
-auto call_relay::may_be_written(relayed_call& call, time_point now) -> bool
+auto call_relay::may_be_written(tracked_endpoint& endpoint, std::optional<call_permit> permit, time_point now)
+    -> bool
 {
-    auto& share = call.endpoint->share;
-    auto const permit = std::exchange(call.permit, std::nullopt);
+    auto& share = endpoint.share;
     auto const is_permitted = permit && now < permit->valid_until;
     if (!share.is_limited() || is_permitted || share.take(now)) return true;
     metrics_registry_.count("sends_withheld", {{"reason", "rate_limit"}});
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-auto call_relay::record_end(relayed_call& call, std::string_view outcome, int status,
-                            std::string_view reason) -> void
+auto call_relay::record_end(relayed_call& call, std::string_view outcome, int status, std::string_view reason)
+    -> void
 {
     call.end_reason = reason;
     auto const now = clock::now();
@@ -93,6 +93,21 @@
                {"left_ms", milliseconds_text(call.deadline - clock::now())}});
 }
 
+// The stream stays with its endpoint, or has ended.
+auto call_relay::log_takeover_stopped(relayed_call const& call, stream_takeover const& takeover,
+                                      std::string_view reason) -> void
+{
+    metrics_registry_.count("takeovers_stopped");
+    log_event(log_level::info, "takeover_stopped",
+              {{"call", call.fields.call_id},
+               {"reason", std::string{reason}},
+               {"cause", takeover.from_silent ? "silent" : "weights"},
+               {"to", takeover.endpoint->record.id},
+               {"asked", takeover.state == takeover_state::asked ? "1" : "0"},
+               {"held_bytes", std::to_string(call.held_events.size())},
+               {"left_ms", milliseconds_text(call.deadline - clock::now())}});
+}
+
 // An endpoint does not take a stream whose caller has received a part of it.
 auto call_relay::log_rejected_resume(relayed_call const& call, endpoint_record const& by, int status) -> void
 {
--- a/src/serving/call_quarantine.cpp
+++ b/src/serving/call_quarantine.cpp
@@ -32,7 +32,7 @@
 auto may_be_crash(send_outcome const& outcome) -> bool
 {
     auto const is_own_end = [](std::string_view reason) {
-        return reason == "silent" || reason == "late" || reason == "caller disconnected";
+        return reason == "silent" || reason == "late" || reason == "moved" || reason == "caller disconnected";
     };
     if (auto const* failed = std::get_if<send_failed>(&outcome)) return !is_own_end(failed->reason);
     auto const* interrupted = std::get_if<send_interrupted>(&outcome);
@@ -151,8 +151,11 @@
         co_return true;
     }
     auto const leaves = endpoint->leaving || endpoint->record.draining;
-    if (may_be_crash(outcome) && goes_to_engine(call) && !leaves && !call.ended_by_stop)
-        co_await record_crash(call, endpoint->record);
+    auto const is_suspect = may_be_crash(outcome) && goes_to_engine(call) && !leaves && !call.ended_by_stop;
+    if (is_suspect && !call.past_beginning) {
+        auto suspect = crash_suspect{prompt_of(call), call.suspicion_when_sent};
+        co_await record_crash(call.fields.call_id, std::move(suspect), endpoint->record);
+    }
     end_trial(call);
     co_return false;
 }
@@ -160,18 +163,18 @@
 // The connection to the endpoint ended within a response. If nothing listens there any more, the endpoint has
 // ended too, and the call may be the cause. Other connections of the entry to it end at the same moment;
 // those of streams past their beginning wait for nothing.
-auto call_relay::record_crash(relayed_call& call, endpoint_record record) -> asio::awaitable<void>
+auto call_relay::record_crash(std::string call_id, crash_suspect suspect, endpoint_record record)
+    -> asio::awaitable<void>
 {
-    if (call.past_beginning || prompt_of(call).segments.empty()) co_return;
+    if (suspect.prompt.segments.empty()) co_return;
     auto const has_ended = co_await pool_.refuses_connections(
         record.id, record.where, settings_.connect_timeout, settings_.idle_timeout);
     if (!has_ended) co_return;
     metrics_registry_.count("crash_suspects");
-    auto const suspect = crash_suspect{prompt_of(call), call.suspicion_when_sent};
     auto const changed =
         quarantine_.record_crash(run_id(record.id, record.started_at_ms), {&suspect, 1}, clock::now());
     log_event(log_level::warning, "crash_suspect",
-              {{"call", call.fields.call_id},
+              {{"call", call_id},
                {"endpoint", record.id},
                {"model", suspect.prompt.model},
                {"segments", joined(suspect.prompt.segments)},
@@ -186,6 +189,7 @@
         return;
     if (!quarantine_.is_quarantined(prompt_of(call), now)) return;
     call.recalled = true;
+    stop_takeover(call, "quarantined");
     call.connection->close();
 }
 
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -79,6 +79,7 @@
     {
         call.out.on_disconnect([] {});
         relay.end_trial(call);
+        relay.stop_takeover(call, "the call has ended");
         relay.active_.erase(&call);
         relay.waiting_calls_.erase(&call.queue_entry);
         relay.wait_queue_.remove(call.queue_entry);
@@ -106,8 +107,9 @@
     set_shed_decision(call);
     admissions_[call.service->name].on_call(priority_of(call), call.read_at);
     auto const registration = registered_call{*this, call};
-    out.on_disconnect([&call] {
+    out.on_disconnect([this, &call] {
         call.caller_disconnected = true;
+        stop_takeover(call, "caller disconnected");
         if (call.connection != nullptr) call.connection->close();
         if (call.wait_timer != nullptr) call.wait_timer->cancel();
     });
@@ -202,11 +204,12 @@
                 "retry budget of this entry is used up; the call is not sent again",
                 settings_.placement.max_retry_after);
         }
+        auto outcome = co_await send_and_follow(call);
         auto const endpoint = call.endpoint;
-        auto outcome = co_await send(call);
         stop_seeking_replacement(call);
         release_slot(call);
         call.tried_endpoints.insert(endpoint->record.id);
+        remember_unwilling_endpoint(call, *endpoint, outcome, clock::now());
         remember_lost_connection(call, *endpoint, outcome);
         if (call.caller_disconnected) break;
         record_send_outcome(call, *endpoint, outcome);
@@ -234,7 +237,7 @@
                                     [&](send_responded const&) { endpoint_table::record_success(endpoint); },
                                     [&](send_streamed const&) { endpoint_table::record_success(endpoint); }};
     std::visit(visitor, outcome);
-    if (reason.empty() || call.moved || call.recalled || call.ended_by_stop) return;
+    if (reason.empty() || reason == "moved" || call.recalled || call.ended_by_stop) return;
     endpoint_table::record_failure(endpoint, clock::now());
     log_event(log_level::warning, "send_failed",
               {{"call", call.fields.call_id},
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -1,6 +1,6 @@
-// Moves calls away from endpoints that stall or change their weights. A call leaves its endpoint only once a
-// slot elsewhere is reserved for it: a sound endpoint may be silent for a while and then go on, and a stream
-// that has begun would be broken off if nothing could take it.
+// Moves calls away from endpoints that stall or change their weights. A sound endpoint may be silent for a
+// while and then go on, so a call leaves its endpoint only once a slot elsewhere is reserved for it, and a
+// stream that has begun only once another endpoint has taken it, see serving/stream_takeover.
 #include "hibiscuswall/serving/call_relay.hpp"
 
 namespace hibiscuswall {
@@ -9,8 +9,10 @@
 auto call_relay::check_progress(relayed_call& call, time_point now) -> void
 {
     if (call.replacement != nullptr) return;
+    if (call.takeover != nullptr) return check_takeover(call, now);
+    if (now < call.next_takeover_at) return stop_seeking_replacement(call);
     if (!call.moved && should_move(call, settings_.stalls, now)) {
-        call.moved = reserve_replacement(call, now);
+        reserve_replacement(call, now);
         return;
     }
     if (call.connection == nullptr) return;
@@ -51,16 +53,30 @@
     return true;
 }
 
-// Reserves a slot at another endpoint and closes the connection to the present one. Returns whether there was
-// one.
+// Selects an endpoint other than the present one, which the call has not left yet.
+auto call_relay::place_elsewhere(relayed_call& call) -> placement
+{
+    auto const present = call.tried_endpoints.insert(call.endpoint->record.id);
+    auto decision = next_endpoint(call);
+    if (present.second) call.tried_endpoints.erase(present.first);
+    return decision;
+}
+
+// Reserves a slot at another endpoint. A call that has not begun is sent there next, a stream that has begun
+// once the endpoint has taken it. Returns whether there was a slot.
 auto call_relay::reserve_replacement(relayed_call& call, time_point now) -> bool
 {
     if (call.connection == nullptr || !renew_match(call) || must_decide_again(call, now)) return false;
-    call.tried_endpoints.insert(call.endpoint->record.id);
-    auto const decision = next_endpoint(call);
+    auto const decision = place_elsewhere(call);
     auto const* found = std::get_if<placed>(&decision);
     if (found == nullptr || !retry_budget_for(call.service->name).try_spend(now)) return false;
+    if (call.response_started) {
+        begin_takeover(call, found->endpoint, now);
+        return true;
+    }
     call.closed_as_stalled = call.seeks_replacement;
+    call.closed_as_moved = !call.seeks_replacement;
+    call.moved = call.moved || call.closed_as_moved;
     log_moved(call, call.seeks_replacement ? "silent" : "weights", found->endpoint->record);
     stop_seeking_replacement(call);
     call.replacement = found->endpoint;
--- a/src/serving/call_stop.cpp
+++ b/src/serving/call_stop.cpp
@@ -18,6 +18,7 @@
         metrics_registry_.count("calls_ended_by_stop");
         call->ended_by_stop = true;
         call->deadline = std::min(call->deadline, now);
+        stop_takeover(*call, "this entry stops");
         if (call->connection != nullptr) call->connection->close();
         if (call->wait_timer != nullptr) call->wait_timer->cancel();
     }
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -9,6 +9,8 @@
 namespace hibiscuswall {
 namespace {
 
+constexpr auto max_pause_doublings = 3; // of the pause between two attempts to resume a stream
+
 // Whether no endpoint takes the call before a known time.
 auto opens_later(rejected const& rejection) -> bool
 {
@@ -70,7 +72,7 @@
     co_return decision;
 }
 
-// A stream that has to resume gets the highest priority and waits as long as its caller tolerates a pause.
+// A stream that has to resume gets the highest priority.
 auto call_relay::set_queue_entry(relayed_call& call, time_point now) -> void
 {
     call.queue_entry.priority = call.response_started ? -1 : priority_of(call);
@@ -92,6 +94,24 @@
     call.wait_timer = nullptr;
 }
 
+// Waits until then, or until the caller disconnects or this entry ends the call.
+auto call_relay::pause(relayed_call& call, time_point until) -> asio::awaitable<void>
+{
+    if (call.caller_disconnected) co_return;
+    auto timer = clock_timer{io_, until};
+    call.wait_timer = &timer;
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    call.wait_timer = nullptr;
+}
+
+// The pauses grow with the rejections in a row.
+auto call_relay::pause_before_resuming(relayed_call& call) -> asio::awaitable<void>
+{
+    auto const factor = 1 << std::min(call.rejected_resumes, max_pause_doublings);
+    auto const until = clock::now() + factor * settings_.waiting.resume_interval;
+    co_await pause(call, std::min(until, call.deadline));
+}
+
 auto call_relay::dispatch_waiting() -> void
 {
     for (auto* each : replacement_queue_.by_priority())
--- a/src/serving/endpoint_connection.cpp
+++ b/src/serving/endpoint_connection.cpp
@@ -40,11 +40,14 @@
 {
     if (buffer_.empty()) buffer_.resize(receive_buffer_size);
     stream_.expires_after(deadline - clock::now());
+    receiving_ = true;
     auto [code, size] = co_await stream_.async_read_some(asio::buffer(buffer_), awaitable_tuple);
+    receiving_ = false;
     if (!code) co_return std::string_view{buffer_.data(), size};
     end_ = connection_end::reset;
     if (code == asio::error::eof) end_ = connection_end::closed;
     if (code == boost::beast::error::timeout) end_ = connection_end::timed_out;
+    if (code == asio::error::operation_aborted && is_open()) end_ = connection_end::interrupted;
     co_return std::string_view{};
 }
 
@@ -54,6 +57,11 @@
     stream_.socket().close(ignored);
 }
 
+auto endpoint_connection::interrupt() -> void
+{
+    if (receiving_) stream_.cancel();
+}
+
 auto endpoint_connection::is_open() const -> bool { return stream_.socket().is_open(); }
 
 auto endpoint_connection::is_usable() -> bool
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -1,4 +1,5 @@
 // Sends a call to one endpoint, reads the response and relays events as they arrive.
+#include "endpoint_exchange.hpp"
 #include "hibiscuswall/serving/call_relay.hpp"
 #include "hibiscuswall/serving/endpoint_response_parser.hpp"
 
@@ -45,6 +46,8 @@
         return "reset";
     case connection_end::timed_out:
         return "late";
+    case connection_end::interrupted:
+        return "interrupted";
     }
     return "unknown";
 }
@@ -79,6 +82,7 @@
 {
     if (!has_events) return; // comments only
     call.last_progress_at = now;
+    call.rejected_resumes = 0;
     if (call.first_event_at == time_point{})
         call.first_event_at = now;
     else
@@ -86,49 +90,41 @@
     call.last_event_at = now;
 }
 
-auto names_call(relayed_call const& call, endpoint_response_parser const& parser) -> bool
-{
-    return platform::decode_response(parser.status(), parser.headers()).call_id == call.fields.call_id;
-}
+} // namespace
 
-// Whether the response is a stream of events. Any other response, such as an error that an endpoint sends in
-// place of the events, is read to its end first.
-auto has_events(relayed_call const& call, endpoint_response_parser const& parser) -> bool
+// The endpoint may close a pooled connection just as a call is sent on it. Null if it takes no connection in
+// time.
+auto call_relay::connect(endpoint_record record, bool may_be_kept, time_point deadline)
+    -> asio::awaitable<endpoint_connection_ptr>
 {
-    if (!call.is_stream() || !parser.has_head() || parser.status() != 200) return false;
-    auto const fields = platform::decode_response(parser.status(), parser.headers());
-    return fields.has_events && !fields.not_executed;
+    auto const now = clock::now();
+    auto connection = may_be_kept ? pool_.take(record.id, now) : nullptr;
+    if (connection != nullptr) co_return connection;
+    auto const left = std::chrono::duration_cast<milliseconds>(deadline - now);
+    co_return co_await pool_.connect(record.where, std::min(settings_.connect_timeout, left));
 }
 
-} // namespace
-
 auto call_relay::send(relayed_call& call) -> asio::awaitable<send_outcome>
 {
-    auto const now = clock::now();
-    auto const record = call.endpoint->record;
-    // The endpoint may close a pooled connection just as a call is sent on it, and then it is unknown whether
-    // the call ran. Only retryable calls use pooled connections, and only with an id: without one, their
-    // response could not be told from a late one.
-    auto connection = endpoint_connection_ptr{};
+    // After a pooled connection was closed just as a call was sent on it, it is unknown whether the call ran.
+    // Only retryable calls use pooled connections, and only with an id: without one, their response could not
+    // be told from a late one.
     auto const may_be_kept =
         call.route->is_retryable() && !call.fields.call_id.empty() && !call.needs_new_connection;
-    if (may_be_kept) connection = pool_.take(record.id, now);
-    if (connection == nullptr) {
-        auto const timeout = std::min(settings_.connect_timeout,
-                                      std::chrono::duration_cast<milliseconds>(call.deadline - now));
-        connection = co_await pool_.connect(record.where, timeout);
-    }
+    auto connection = co_await connect(call.endpoint->record, may_be_kept, call.deadline);
     if (connection == nullptr) co_return send_not_sent{"could not connect to the endpoint"};
     if (call.caller_disconnected) co_return send_not_sent{"caller disconnected"};
     // Checked where the request is written: the endpoint may have announced its departure while this call
     // was connecting. A connection that is dropped here carried nothing.
     if (!call.endpoint->accepts_calls(clock::now())) co_return send_withheld{};
     if (must_decide_again(call, clock::now())) co_return send_withheld{};
-    if (!may_be_written(call, clock::now())) co_return send_withheld{};
+    if (!may_be_written(*call.endpoint, std::exchange(call.permit, std::nullopt), clock::now()))
+        co_return send_withheld{};
     call.endpoint->share.record_send(clock::now());
     call.connection = connection;
     remember_suspicion(call);
     call.closed_as_stalled = false;
+    call.closed_as_moved = false;
     call.sent_at = clock::now();
     call.last_progress_at = {};
     call.body_bytes_at_progress = 0;
@@ -139,23 +135,28 @@
     co_return outcome;
 }
 
-auto call_relay::exchange(relayed_call& call) -> asio::awaitable<send_outcome>
+auto call_relay::request_to(relayed_call const& call, tracked_endpoint const& endpoint, time_point now)
+    -> std::string
 {
-    auto const& record = call.endpoint->record;
     auto fields = platform::endpoint_call_fields{};
-    fields.remaining_time = std::chrono::duration_cast<milliseconds>(call.deadline - clock::now());
-    if (fields.remaining_time.count() <= 0) co_return send_not_sent{"deadline"};
-    fields.endpoint_id = record.id;
+    fields.remaining_time = std::chrono::duration_cast<milliseconds>(call.deadline - now);
+    fields.endpoint_id = endpoint.record.id;
     if (call.account != nullptr) fields.account = call.account->name;
     if (call.service->engine) {
-        auto const min_version = declared_state_.min_version(call.service->engine->model, clock::now());
+        auto const min_version = declared_state_.min_version(call.service->engine->model, now);
         // Sent only from shortly before the end of the old version's grace period. Sent earlier, it would
         // make an engine that has just changed its weights reject the call needlessly.
-        if (min_version > 0 && call.endpoint->weights())
-            fields.weights_version = call.endpoint->weights()->version;
+        if (min_version > 0 && endpoint.weights()) fields.weights_version = endpoint.weights()->version;
     }
     if (call.response_started && call.events.last_id()) fields.resume_after = *call.events.last_id();
-    auto const text = request_text(call, platform::encode_endpoint_headers(call.request.headers, fields));
+    return request_text(call, platform::encode_endpoint_headers(call.request.headers, fields));
+}
+
+auto call_relay::exchange(relayed_call& call) -> asio::awaitable<send_outcome>
+{
+    auto const now = clock::now();
+    if (call.deadline - now < milliseconds{1}) co_return send_not_sent{"deadline"};
+    auto const text = request_to(call, *call.endpoint, now);
     auto const connection = call.connection;
     // An endpoint may respond and reset the connection before it has read the complete request, so the
     // response is read even if sending fails.
@@ -173,11 +174,14 @@
     while (true) {
         while (parser.state() != response_state::complete && parser.state() != response_state::invalid) {
             if (parser.has_head() && !std::exchange(is_recorded, true))
-                record_announcements(call, parser, clock::now());
+                record_announcements(call, *call.endpoint, call.sent_at, parser, clock::now());
             if (has_events(call, parser) && names_call(call, parser))
                 co_return co_await relay_events(call, parser);
+            if (call.is_taken_over()) co_return send_interrupted{"moved"};
             auto const bytes = co_await connection->receive(call.deadline);
             if (bytes.empty()) {
+                if (connection->end() == connection_end::interrupted) continue;
+                if (call.closed_as_moved) co_return send_failed{"moved"};
                 if (call.closed_as_stalled) co_return send_failed{"silent"};
                 if (connection->end() == connection_end::timed_out) co_return send_failed{"late"};
                 parser.end_of_input(connection->end() == connection_end::closed);
@@ -196,7 +200,8 @@
             if (!call.hold(parser.body_size())) co_return send_failed{responses_too_large(metrics_registry_)};
         }
         if (parser.state() == response_state::invalid) co_return send_failed{"response is not valid HTTP"};
-        if (!std::exchange(is_recorded, true)) record_announcements(call, parser, clock::now());
+        if (!std::exchange(is_recorded, true))
+            record_announcements(call, *call.endpoint, call.sent_at, parser, clock::now());
         auto const fields = platform::decode_response(parser.status(), parser.headers());
         if (fields.call_id.empty()) {
             // It belongs to the call if it is the only response on its connection. Else it may be a late one,
@@ -244,16 +249,19 @@
     auto const connection = call.connection;
     auto const fields = platform::decode_response(parser.status(), parser.headers());
     if (!fields.signed_response) co_return send_failed{"response has no endpoint signature"};
-    call.events.begin_response();
+    auto taken_events = std::exchange(call.taken_events, {});
+    if (taken_events.empty()) call.events.begin_response();
     auto const is_resumed = call.response_started;
-    auto const events_of_earlier_responses = call.events.count();
+    auto const events_of_earlier_responses = call.events_when_sent;
     auto const fail_stream = [&](std::string reason) -> send_outcome {
         if (call.response_started) return send_interrupted{std::move(reason)};
         return send_failed{std::move(reason)};
     };
     while (true) {
-        auto const events_before = call.events.count();
-        auto const complete_events = call.events.feed(parser.take_body());
+        if (call.is_taken_over()) co_return fail_stream("moved");
+        if (!co_await pass_on_held_events(call)) co_return fail_stream("caller disconnected");
+        auto const events_before = taken_events.empty() ? call.events.count() : events_of_earlier_responses;
+        auto const complete_events = std::exchange(taken_events, {}) + call.events.feed(parser.take_body());
         if (call.events.pending() > max_event_bytes) co_return fail_stream("event exceeds the size limit");
         if (!call.hold(call.events.pending())) co_return fail_stream(responses_too_large(metrics_registry_));
         if (!complete_events.empty()) {
@@ -261,13 +269,15 @@
             call.on_prompt_processed();
             record_prompt_progress(call, false);
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
-            if (!co_await call.out.write(complete_events)) co_return fail_stream("caller disconnected");
+            if (!co_await pass_on(call, complete_events)) co_return fail_stream("caller disconnected");
         }
         if (!call.events.continues()) co_return fail_stream("events do not continue the stream");
         if (parser.state() == response_state::invalid) co_return fail_stream("response is not valid HTTP");
         if (parser.state() == response_state::complete) break;
         auto const bytes = co_await connection->receive(call.deadline);
         if (bytes.empty()) {
+            if (connection->end() == connection_end::interrupted) continue;
+            if (call.closed_as_moved) co_return fail_stream("moved");
             if (call.closed_as_stalled) co_return fail_stream("silent");
             if (connection->end() == connection_end::timed_out) co_return fail_stream("late");
             parser.end_of_input(connection->end() == connection_end::closed);
@@ -281,7 +291,9 @@
     auto const has_no_events = call.events.count() == events_of_earlier_responses;
     if (has_no_events && (is_resumed || parser.ends_with_connection()))
         co_return fail_stream("stream ended without an event");
+    stop_takeover(call, "its endpoint has completed the stream");
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
+    if (!co_await pass_on_held_events(call)) co_return fail_stream("caller disconnected");
     if (!parser.ends_with_connection()) record_prompt_progress(call, true);
     return_connection(call, parser);
     co_await call.out.finish();
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -58,6 +58,8 @@
     if (endpoint.region != call.region) sum += settings.other_region_cost;
     if (!call.definition->engine) return sum;
     if (!endpoint.preferred) sum += settings.not_preferred_cost;
+    auto const& weights = endpoint.weights();
+    if (weights && weights->version < call.preferred_version) sum += settings.older_weights_cost;
     return sum + first_event_ms(endpoint, *call.definition->engine, call.prompt_tokens) /
                      settings.first_event_cost_ms;
 }
--- /dev/null
+++ b/tests/integration/moved_streams_test.cpp
@@ -0,0 +1,281 @@
+// Streams that the entry moves to another endpoint, and the moment at which they leave the present one. The
+// real entry program with scripted endpoints; load reports come from the test.
+#include "hibiscuswall/serving/load_datagram.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "support/direct_entry_base.hpp"
+
+using namespace hibiscuswall;
+
+namespace {
+
+auto events(int first, int last, std::string const& text = "t") -> std::string
+{
+    auto body = std::string{};
+    for (auto i = first; i <= last; ++i)
+        body += "id: " + std::to_string(i) + "\ndata: " + text + "\n\n";
+    return body;
+}
+
+auto chunk(std::string const& body) -> std::string
+{
+    auto size = std::array<char, 16>{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+    return size.data() + body + "\r\n";
+}
+
+auto stream_head(scripted_request const& request) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nX-Hibiscuswall-Attempt-Id: " + request.header("x-hibiscuswall-attempt-id") +
+           "\r\nX-Hibiscuswall-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+auto full(scripted_request const& request) -> scripted_response
+{
+    return {"HTTP/1.1 503 Service Unavailable\r\nX-Hibiscuswall-Attempt-Id: " +
+            request.header("x-hibiscuswall-attempt-id") +
+            "\r\nX-Hibiscuswall-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"};
+}
+
+// Events 1 and 2, and events 3 to 5 after the pause.
+auto pausing_stream(scripted_request const& request, milliseconds pause) -> scripted_response
+{
+    auto response = scripted_response{stream_head(request) + chunk(events(1, 2))};
+    response.late_bytes = chunk(events(3, 5)) + end_of_chunks;
+    response.late_delay = pause;
+    return response;
+}
+
+// What another endpoint sends that continues the stream after event 2.
+auto continued_stream(scripted_request const& request) -> scripted_response
+{
+    return {stream_head(request) + chunk(events(3, 5, "other")) + end_of_chunks};
+}
+
+auto is_resumed(scripted_request const& request) -> bool { return !request.header("last-event-id").empty(); }
+
+} // namespace
+
+TEST_GROUP_BASE(moved_streams, direct_entry_base)
+{
+    using respond_function = scripted_endpoint::respond_function;
+
+    static constexpr auto short_pause = milliseconds{1'000};
+    static constexpr auto report_interval = milliseconds{100};
+    std::atomic<bool> reporting{true};
+    std::atomic<int> paused_endpoint{0}; // number of the endpoint whose engine is reported as paused; 0: none
+    std::vector<address> engines;        // addresses of the endpoints
+    std::thread reports;
+
+    void teardown() override
+    {
+        reporting = false;
+        if (reports.joinable()) reports.join();
+        direct_entry_base::teardown();
+    }
+
+    // Like configure(), but with an engine, and with attempts.
+    auto configure_engine(int attempts)->void
+    {
+        auto engine = json{{"slots", 4}, {"layers", 2}, {"chunks", 8}, {"chunkBytes", 1024}};
+        engine["models"] = json::array({json{{"name", "m"}}});
+        put("op/config",
+            json{{"version", version++},
+                 {"routes", json::array({json{{"name", "draft"},
+                                              {"host", "a.example"},
+                                              {"prefix", "/draft/"},
+                                              {"kind", "streaming"},
+                                              {"timeoutMs", 4000},
+                                              {"targetLatencyMs", 200},
+                                              {"targetGapMs", 300},
+                                              {"maxAttempts", attempts},
+                                              {"service", "s"},
+                                              {"resumable", true}}})},
+                 {"services", json::array({json{{"name", "s"}, {"maxConnections", 50}, {"engine", engine}}})},
+                 {"tenants", json::array({json{{"name", "guild"}, {"apiKeys", account_keys}}})}});
+    }
+
+    auto put_engine(std::string const& id, scripted_endpoint const& endpoint)->void
+    {
+        put("servers/" + id, json{{"service", "s"},
+                                  {"address", endpoint.where().text()},
+                                  {"zone", "north-a"},
+                                  {"version", "v1"},
+                                  {"slots", 4},
+                                  {"state", "ready"},
+                                  {"sequence", 1},
+                                  {"models", json::array({json{{"name", "m"}, {"version", 1}}})},
+                                  {"layers", json{{"from", 0}, {"target", 2}, {"version", 1}}}});
+    }
+
+    auto send_report(boost::asio::ip::udp::socket & socket, std::size_t engine)->void
+    {
+        auto report = load_report{};
+        report.where = engines[engine];
+        report.weights = loaded_weights{"m", 1, 0, 2};
+        report.paused = paused_endpoint == static_cast<int>(engine) + 1;
+        report.subscriber_count = 1;
+        auto const now = std::chrono::duration_cast<microseconds>(clock::now().time_since_epoch()).count();
+        auto const to = boost::asio::ip::udp::endpoint{boost::asio::ip::make_address(peers.ip), peers.port};
+        socket.send_to(boost::asio::buffer(encode_for_subscriber(encode(report), now, 0)), to);
+    }
+
+    auto start_with_engines(std::vector<scripted_endpoint const*> const& endpoints, int attempts = 2)->void
+    {
+        configure_engine(attempts);
+        for (auto i = std::size_t{0}; i < endpoints.size(); ++i) {
+            put_engine("i-" + std::to_string(i + 1), *endpoints[i]);
+            engines.push_back(endpoints[i]->where());
+        }
+        start_entry();
+        await_ready();
+        reports = std::thread{[this] {
+            auto io = boost::asio::io_context{};
+            auto socket = boost::asio::ip::udp::socket{io, boost::asio::ip::udp::v4()};
+            while (reporting) {
+                for (auto i = std::size_t{0}; i < engines.size(); ++i)
+                    send_report(socket, i);
+                std::this_thread::sleep_for(report_interval);
+            }
+        }};
+    }
+
+    auto ask_stream()->partial_response
+    {
+        auto request = next_request("/draft/x", "POST");
+        request.headers.set("X-Hibiscuswall-Deadline-Ms", "4000");
+        return call_and_keep_partial(callers, std::move(request));
+    }
+
+    // Asks for a stream and reports the engine that runs it as one that changes its weights.
+    auto ask_stream_and_pause_its_engine(std::vector<scripted_endpoint*> const& endpoints)->partial_response
+    {
+        auto response = std::async(std::launch::async, [&] { return ask_stream(); });
+        for (auto i = std::size_t{0}; paused_endpoint == 0; i = (i + 1) % endpoints.size()) {
+            if (!endpoints[i]->requests().empty()) paused_endpoint = static_cast<int>(i) + 1;
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        return response.get();
+    }
+
+    // The log as soon as it has a line with this text.
+    auto log_with(std::string const& text)->std::string
+    {
+        CHECK_TEXT(
+            await_condition(seconds{2}, [&] { return entry.log_text().find(text) != std::string::npos; }),
+            text.c_str());
+        return entry.log_text();
+    }
+
+    auto check_complete(partial_response const& response, std::string const& body)->void
+    {
+        CHECK_EQUAL(200, response.status);
+        STRCMP_EQUAL(body.c_str(), response.body.c_str());
+        CHECK(response.complete);
+    }
+};
+
+// Guards against a stream that is broken off because it left a sound engine, which was to change its weights,
+// for one that does not take it.
+TEST(moved_streams, a_stream_stays_with_an_engine_that_changes_its_weights_if_no_other_takes_it)
+{
+    auto const respond = [](auto const& request) {
+        return is_resumed(request) ? full(request) : pausing_stream(request, milliseconds{1'100});
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    check_complete(ask_stream_and_pause_its_engine({&one, &two}), events(1, 5));
+    log_with("event=resume_rejected");
+}
+
+// Guards against a stream that stays until its end and holds up the change of weights.
+TEST(moved_streams, a_stream_leaves_an_engine_that_changes_its_weights_once_another_has_taken_it)
+{
+    auto const respond = [](auto const& request) {
+        return is_resumed(request) ? continued_stream(request) : pausing_stream(request, milliseconds{2'500});
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    check_complete(ask_stream_and_pause_its_engine({&one, &two}), events(1, 2) + events(3, 5, "other"));
+    log_with("event=call_moved");
+}
+
+// Guards against events of two runs in one stream, and against an event that comes twice: the engine goes on
+// while the other one is asked, and the other one continues after the last event that the caller has.
+TEST(moved_streams, events_that_the_engine_sends_while_another_is_asked_are_not_mixed_with_those_of_the_other)
+{
+    auto const respond = [](auto const& request) {
+        if (!is_resumed(request)) {
+            auto response = scripted_response{stream_head(request) + chunk(events(1, 1))};
+            response.repeat_interval = milliseconds{40};
+            for (auto i = 2; i <= 60; ++i)
+                response.pieces.push_back(chunk(events(i, i)));
+            response.pieces.push_back(end_of_chunks);
+            return response;
+        }
+        auto const next = std::stoi(request.header("last-event-id")) + 1;
+        auto response = scripted_response{stream_head(request)};
+        response.late_bytes = chunk(events(next, 60, "other")) + end_of_chunks;
+        response.late_delay = milliseconds{100};
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    auto const response = ask_stream_and_pause_its_engine({&one, &two});
+    auto const resumed = [&] {
+        auto all = one.requests();
+        for (auto const& each : two.requests())
+            all.push_back(each);
+        for (auto const& each : all)
+            if (is_resumed(each)) return std::stoi(each.header("last-event-id"));
+        return 0;
+    }();
+    CHECK(resumed > 0);
+    check_complete(response, events(1, resumed) + events(resumed + 1, 60, "other"));
+}
+
+// Guards against a stream that is late because an engine that was asked to take it sends nothing.
+TEST(moved_streams, a_stream_is_not_held_up_by_an_endpoint_that_takes_it_late)
+{
+    auto const respond = [](auto const& request) {
+        auto response = scripted_response{stream_head(request) + chunk(events(1, 1))};
+        if (is_resumed(request)) {
+            response = scripted_response{stream_head(request)};
+            response.late_bytes = chunk(events(2, 60, "other")) + end_of_chunks;
+            response.late_delay = milliseconds{1'000};
+            return response;
+        }
+        response.repeat_interval = milliseconds{40};
+        for (auto i = 2; i <= 40; ++i)
+            response.pieces.push_back(chunk(events(i, i)));
+        response.pieces.push_back(end_of_chunks);
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    check_complete(ask_stream_and_pause_its_engine({&one, &two}), events(1, 40));
+    log_with("event=takeover_stopped");
+    auto const field = std::string{"longest_gap_ms="};
+    auto const log = log_with(field);
+    CHECK(std::stoi(log.substr(log.find(field) + field.size())) < 300); // targetGapMs of the route
+}
+
+// Guards against a stream that is broken off because its endpoint was silent for a while and another one
+// rejects it.
+TEST(moved_streams, a_silent_endpoint_goes_on_with_its_stream_if_another_rejects_it)
+{
+    auto const respond = [](auto const& request) {
+        return is_resumed(request) ? full(request) : pausing_stream(request, milliseconds{1'800});
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    check_complete(ask_stream(), events(1, 5));
+}
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -158,6 +158,10 @@
         std::this_thread::sleep_for(response.delay);
         ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
         if (!response.repeated.empty()) return send_repeatedly(socket, response);
+        for (auto const& piece : response.pieces) {
+            std::this_thread::sleep_for(response.repeat_interval);
+            ::send(socket, piece.data(), piece.size(), MSG_NOSIGNAL);
+        }
         if (!response.late_bytes.empty()) {
             std::this_thread::sleep_for(response.late_delay);
             ::send(socket, response.late_bytes.data(), response.late_bytes.size(), MSG_NOSIGNAL);
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -39,8 +39,9 @@
     milliseconds repeat_interval{0}; // between two of them
     std::string late_bytes{};        // sent once, late_delay after the bytes
     milliseconds late_delay{0};
-    bool reset = false;         // reset the connection after the bytes
-    bool ends_endpoint = false; // then reset all connections and listen no more
+    std::vector<std::string> pieces{}; // then sent one by one, repeat_interval apart
+    bool reset = false;                // reset the connection after the bytes
+    bool ends_endpoint = false;        // then reset all connections and listen no more
 };
 
 class scripted_endpoint {
