Resume a begun stream as long as it has time and something may take it

Callers saw: a stream whose engine failed, or which had been moved, ended after 0.4 to 2.5 s of its 6 s.

Cause: four limits that are meant for calls that have not begun also ended streams: the third send in all that is rejected (max_rejected_sends), no usable endpoint at this moment, all endpoints full for 1.2 s, and a retry budget that is used up at this moment.

It ends when its attempts are used up, its route is gone, its caller leaves or its time is up.

--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -192,6 +192,10 @@
         if (!is_replaced) decision = co_await select_endpoint(call);
         if (call.caller_disconnected) break;
         if (auto const* rejection = std::get_if<rejected>(&decision)) {
+            if (call.can_still_resume(clock::now())) {
+                co_await pause_before_resuming(call);
+                continue;
+            }
             co_return co_await end_without_retry(call, result_code::no_endpoint, reason_text(*rejection),
                                                  retry_after(call, *rejection, clock::now()));
         }
@@ -199,6 +203,10 @@
         auto const needs_retry = call.send_count > 0 && !is_replaced;
         if (needs_retry && !retry_budget_for(call.service->name).try_spend(clock::now())) {
             release_slot(call);
+            if (call.can_still_resume(clock::now())) {
+                co_await pause_before_resuming(call);
+                continue;
+            }
             co_return co_await end_without_retry(
                 call, result_code::retry_budget_exhausted,
                 "retry budget of this entry is used up; the call is not sent again",
@@ -269,6 +277,11 @@
     if (std::holds_alternative<send_withheld>(outcome)) co_return false;
     if (auto const* rejection = std::get_if<send_rejected>(&outcome)) {
         metrics_registry_.count("sends_refused");
+        if (call.can_still_resume(clock::now())) {
+            co_await pause_before_resuming(call);
+            ++call.rejected_resumes;
+            co_return false;
+        }
         if (call.send_count < settings_.max_rejected_sends) co_return false;
         co_await end_without_retry(call, result_code::endpoint_overloaded,
                                    "endpoints rejected the call; last status " +
@@ -291,6 +304,7 @@
 auto call_relay::handle_response(relayed_call& call, send_responded response) -> asio::awaitable<bool>
 {
     ++call.run_count;
+    if (call.can_still_resume(clock::now())) co_return false;
     if (response.status >= 500 && call.may_run_again() && !call.response_started) {
         call.fallback_response = std::move(response);
         co_return false;
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -57,10 +57,11 @@
     // Calls that are already waiting have precedence.
     auto const overtakes = rejection == nullptr && wait_queue_.size() > 0;
     if (rejection == nullptr && !overtakes) co_return decision;
-    if (rejection != nullptr && !may_become_free(*rejection)) co_return decision;
+    auto const must_resume = call.can_still_resume(clock::now());
+    if (rejection != nullptr && !must_resume && !may_become_free(*rejection)) co_return decision;
     auto const started_at = clock::now();
     set_queue_entry(call, started_at);
-    auto const opens_too_late = rejection != nullptr && opens_later(*rejection) &&
+    auto const opens_too_late = rejection != nullptr && !must_resume && opens_later(*rejection) &&
                                 rejection->accepted_again >= call.queue_entry.until;
     if (opens_too_late) co_return decision;
     if (call.queue_entry.until <= started_at || !wait_queue_.add(call.queue_entry)) co_return decision;
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -279,3 +279,54 @@
     start_with_engines({&one, &two});
     check_complete(ask_stream(), events(1, 5));
 }
+
+// Guards against a stream that is broken off with seconds left, because the endpoints reject it for a moment.
+TEST(moved_streams, a_stream_that_broke_off_is_resumed_once_an_endpoint_takes_it)
+{
+    auto rejections = std::atomic<int>{0};
+    auto const respond = [&](auto const& request) {
+        if (!is_resumed(request)) return scripted_response{stream_head(request) + chunk(events(1, 2)), true};
+        return ++rejections <= 3 ? full(request) : continued_stream(request);
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    auto three = scripted_endpoint{respond};
+    start_with_engines({&one, &two, &three});
+    check_complete(ask_stream(), events(1, 2) + events(3, 5, "other"));
+}
+
+// Guards against a stream that is broken off while its only other endpoint is not usable for a moment.
+TEST(moved_streams, a_stream_that_broke_off_is_resumed_once_an_endpoint_is_usable)
+{
+    auto const respond = [](auto const& request) {
+        if (is_resumed(request)) return continued_stream(request);
+        return scripted_response{stream_head(request) + chunk(events(1, 2)), true, short_pause};
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    auto response = std::async(std::launch::async, [&] { return ask_stream(); });
+    CHECK(await_condition(seconds{2}, [&] { return one.requests().size() + two.requests().size() == 1; }));
+    paused_endpoint = one.requests().empty() ? 1 : 2; // the other one
+    std::this_thread::sleep_for(short_pause + milliseconds{400});
+    paused_endpoint = 0;
+    check_complete(response.get(), events(1, 2) + events(3, 5, "other"));
+}
+
+// Guards against a stream that is broken off because an endpoint failed to continue it, with attempts left.
+TEST(moved_streams, a_stream_is_resumed_after_an_error_response_while_it_has_attempts)
+{
+    auto failures = std::atomic<int>{0};
+    auto const respond = [&](auto const& request) {
+        if (!is_resumed(request)) return scripted_response{stream_head(request) + chunk(events(1, 2)), true};
+        if (++failures > 1) return continued_stream(request);
+        return scripted_response{"HTTP/1.1 500 Internal Server Error\r\nX-Hibiscuswall-Attempt-Id: " +
+                                 request.header("x-hibiscuswall-attempt-id") +
+                                 "\r\nX-Hibiscuswall-Response-Signature: s\r\nContent-Length: 4\r\n\r\nboom"};
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    auto three = scripted_endpoint{respond};
+    start_with_engines({&one, &two, &three}, 3);
+    check_complete(ask_stream(), events(1, 2) + events(3, 5, "other"));
+}
