Switch engines whose weights arrive late one after another, too

Callers saw: streams moved to engines that answered 503 since they were about to change their weights too, and few engines for new calls near the end of an old version's grace period.

Cause: engines switch one after another by their rank, but one whose chunks arrive after its time switched at once, and was drained as soon as three quarters of the chunks were there. Slow chunks are slow for many hosts, so that many engines were overdue and paused at the same moment.

Now an engine whose chunks arrive too late waits for its turn in the time that is left, in the order of the ranks; from 7 s after the declaration, engines switch at once as before, because calls may no longer begin on the old version soon after.

Tests: switch_schedule.engines_whose_chunks_arrive_late_and_together_do_not_switch_together and engines_that_wait_for_the_last_chunks_are_not_drained_together; both failed before.

--- a/include/hibiscuswall/weights/engine_weights_controller.hpp
+++ b/include/hibiscuswall/weights/engine_weights_controller.hpp
@@ -70,6 +70,7 @@
     auto engine_service() const -> service_definition const*;
     auto held_version() const -> std::optional<std::uint64_t>;
     auto update_declared_versions() -> void;
+    auto add_declared_version(std::uint64_t version, time_point declared_at) -> void;
     auto held_fraction(std::uint64_t version) const -> double;
     [[nodiscard]] auto oldest_transferred() const -> std::uint64_t;
     auto start_transfers() -> void;
@@ -132,7 +133,9 @@
     bool stage_known_ = false; // staged_version_ is known to match what the engine has staged
     std::optional<std::uint64_t> shared_version_; // version whose staged chunks were read back for peers
     std::map<std::uint64_t, time_point> complete_since_; // complete versions and when they became complete
-    std::set<std::uint64_t> versions_in_progress_;       // versions that fetch_version() runs for
+    // Versions of which nearly all chunks are held, and since when.
+    std::map<std::uint64_t, time_point> nearly_complete_since_;
+    std::set<std::uint64_t> versions_in_progress_;                 // versions that fetch_version() runs for
     std::map<std::uint64_t, std::shared_ptr<transfer>> transfers_; // running transfers by version
     std::uint64_t engine_started_at_ms_ = 0; // start time of the engine that staged_version_ applies to
     std::size_t holdings_round_ = 0;         // selects the next agents that receive holdings
--- a/include/hibiscuswall/weights/switch_schedule.hpp
+++ b/include/hibiscuswall/weights/switch_schedule.hpp
@@ -7,7 +7,9 @@
 //
 // The engines of a service switch versions one after another. Each agent computes the order from the
 // endpoints' addresses, without election, lease or messages. All engines switch before the time after which
-// no request may begin on older weights.
+// no request may begin on older weights. Where chunks arrive too late for that order, often at many hosts at
+// the same time, the engines switch in the same order from then on, as far apart as the rest of the time
+// allows.
 //
 // A newer declaration does not cancel the switch to the previous version, because the newer chunks may arrive
 // only after the deadline of the previous one. Each engine takes the newest version that is complete when it
@@ -25,6 +27,9 @@
     // From the declaration to the switch of the first engine. Most hosts have the complete version by then.
     milliseconds first_switch_delay{2'600};
     milliseconds last_switch_delay{6'400}; // from the declaration to the switch of the last engine
+    // From the declaration until which engines whose chunks arrived too late for these times wait for each
+    // other. Calls may no longer begin on the old version soon after it.
+    milliseconds max_switch_delay{7'000};
     // Fraction of the chunks from which on an engine that is due is drained.
     double nearly_complete_fraction = 0.75;
     // An engine drained for this long without a complete version takes calls again.
@@ -35,9 +40,10 @@
 
 struct declared_version {
     std::uint64_t version = 1;
-    time_point declared_at;   // earliest time at which it may have been declared
-    bool complete = false;    // every chunk is held and verified
-    double held_fraction = 0; // fraction of the chunks that are held, 0 to 1
+    time_point declared_at;                       // earliest time at which it may have been declared
+    bool complete = false;                        // every chunk is held and verified
+    double held_fraction = 0;                     // fraction of the chunks that are held, 0 to 1
+    std::optional<time_point> nearly_complete_at{}; // when that reached nearly_complete_fraction
 };
 
 struct weights_view {
@@ -67,7 +73,10 @@
 [[nodiscard]] auto next_weights_step(weights_view const& view, switch_settings const& settings,
                                      time_point now) -> weights_step;
 
-// When an engine of this rank switches away from the version that it holds.
+// When an engine of this rank switches away from the version that it holds, if its chunks are there in time.
 [[nodiscard]] auto switch_time(weights_view const& view, switch_settings const& settings) -> time_point;
 
+// When it switches, or is drained for the switch. The same, unless its chunks arrived too late for that.
+[[nodiscard]] auto due_time(weights_view const& view, switch_settings const& settings) -> time_point;
+
 } // namespace hibiscuswall
--- a/src/weights/engine_weights_controller.cpp
+++ b/src/weights/engine_weights_controller.cpp
@@ -218,11 +218,18 @@
 {
     declared_.clear();
     for (auto const& each : declared_state_.declared_versions(engine_service()->engine->model))
-        declared_.push_back({each.version, each.declared_at, complete_since_.contains(each.version),
-                             held_fraction(each.version)});
+        add_declared_version(each.version, each.declared_at);
     // Version 1 exists from the start without a declaration.
-    if (declared_.empty())
-        declared_.push_back({1, time_point{}, complete_since_.contains(1), held_fraction(1)});
+    if (declared_.empty()) add_declared_version(1, time_point{});
+}
+
+auto engine_weights_controller::add_declared_version(std::uint64_t version, time_point declared_at) -> void
+{
+    auto added =
+        declared_version{version, declared_at, complete_since_.contains(version), held_fraction(version)};
+    if (added.held_fraction >= settings_.schedule.nearly_complete_fraction)
+        added.nearly_complete_at = nearly_complete_since_.try_emplace(version, clock::now()).first->second;
+    declared_.push_back(added);
 }
 
 auto engine_weights_controller::held_fraction(std::uint64_t version) const -> double
--- a/src/weights/engine_weights_controller_manifests.cpp
+++ b/src/weights/engine_weights_controller_manifests.cpp
@@ -155,6 +155,7 @@
     reserve(stored);
     while (manifests_.size() > max_kept_versions) {
         complete_since_.erase(manifests_.begin()->first);
+        nearly_complete_since_.erase(manifests_.begin()->first);
         told_chunks_.erase(manifests_.begin()->second->id());
         trusted_manifests_.erase(manifests_.begin()->first);
         chunks_.release(manifests_.begin()->second->id());
--- a/src/weights/switch_schedule.cpp
+++ b/src/weights/switch_schedule.cpp
@@ -1,5 +1,7 @@
 #include "hibiscuswall/weights/switch_schedule.hpp"
 
+#include <algorithm>
+
 namespace hibiscuswall {
 namespace {
 
@@ -33,7 +35,7 @@
 // After a drain that ended without a switch, the engine is not drained again until a version is complete.
 auto may_drain(weights_view const& view, switch_settings const& settings, time_point now) -> bool
 {
-    if (!view.held || now < switch_time(view, settings) || !is_nearly_complete(view, settings)) return false;
+    if (!view.held || now < due_time(view, settings) || !is_nearly_complete(view, settings)) return false;
     return !view.drained_at || now - *view.drained_at < settings.max_drain_duration;
 }
 
@@ -49,6 +51,20 @@
     return time_point{};
 }
 
+auto due_time(weights_view const& view, switch_settings const& settings) -> time_point
+{
+    auto const scheduled = switch_time(view, settings);
+    for (auto const& each : view.declared) {
+        if (!is_newer(each, view) || !each.nearly_complete_at) continue;
+        auto const ready_at = *each.nearly_complete_at;
+        if (ready_at <= each.declared_at + settings.first_switch_delay) return scheduled;
+        auto const latest = std::max(ready_at, each.declared_at + settings.max_switch_delay);
+        auto const left = std::chrono::duration_cast<milliseconds>(latest - ready_at);
+        return std::max(scheduled, ready_at + fraction_of(left, view.rank));
+    }
+    return scheduled;
+}
+
 auto next_weights_step(weights_view const& view, switch_settings const& settings, time_point now)
     -> weights_step
 {
@@ -60,7 +76,7 @@
     auto const is_staged = view.staged == version;
     // An engine without weights serves no calls, so it need not wait for its switch time.
     if (!view.held) return {is_staged ? weights_action::load : weights_action::stage, *version};
-    auto const due = switch_time(view, settings);
+    auto const due = due_time(view, settings);
     if (is_staged && now >= due) return {weights_action::load, *version};
     if (!is_staged && (*version == newest || now >= due - settings.staging_lead_time))
         return {weights_action::stage, *version};
--- a/tests/unit/switch_schedule_test.cpp
+++ b/tests/unit/switch_schedule_test.cpp
@@ -3,6 +3,7 @@
 #include "hibiscuswall/weights/fetch_window.hpp"
 #include "hibiscuswall/weights/switch_schedule.hpp"
 
+#include <algorithm>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -112,6 +113,54 @@
           weights_action::wait); // the source is unavailable, so the engine takes calls again
 }
 
+// Guards against a service without engines: a version that arrives late arrives at many hosts at the same
+// time, and an engine that switches takes no calls.
+TEST(switch_schedule, engines_whose_chunks_arrive_late_and_together_do_not_switch_together)
+{
+    constexpr auto engines = 16;
+    constexpr auto step_length = milliseconds{50};
+    constexpr auto max_in_half_a_second = 7; // of the last chunks that are in time, 1.2 s before the end
+    for (auto const arrived : {milliseconds{4'000}, milliseconds{5'000}, milliseconds{5'800}}) {
+        declared = {{2, start, true, 1.0, start + arrived}};
+        view.staged = 2;
+        auto switches = std::vector<milliseconds>{};
+        for (auto rank = 1; rank <= engines; ++rank) {
+            view.rank = rank / static_cast<double>(engines);
+            auto after = arrived;
+            while (step(after).action != weights_action::load)
+                after += step_length;
+            CHECK(after <= settings.max_switch_delay);
+            switches.push_back(after);
+        }
+        for (auto const& first : switches) {
+            auto const together = std::count_if(switches.begin(), switches.end(), [&](milliseconds each) {
+                return each >= first && each < first + milliseconds{500};
+            });
+            CHECK(together <= max_in_half_a_second);
+        }
+    }
+}
+
+// The same for engines that are drained while the last chunks arrive.
+TEST(switch_schedule, engines_that_wait_for_the_last_chunks_are_not_drained_together)
+{
+    declared = {{2, start, false, 0.8, start + milliseconds{5'000}}};
+    view.rank = 0.1;
+    check(milliseconds{5'200}, weights_action::drain);
+    view.rank = 0.6;
+    check(milliseconds{5'200}, weights_action::wait);
+    check(milliseconds{6'250}, weights_action::drain);
+}
+
+// Guards against engines that wait for each other until calls may no longer begin on their version.
+TEST(switch_schedule, engines_whose_chunks_arrive_last_switch_at_once)
+{
+    declared = {{2, start, true, 1.0, start + settings.max_switch_delay}};
+    view.staged = 2;
+    view.rank = 1.0;
+    check(settings.max_switch_delay, weights_action::load, 2);
+}
+
 // ---- fetch window
 
 TEST_GROUP(fetch_window){};
