Ask another engine to take a stream only if it may do so in time

The estimate of the first event that placement uses decides now whether a sound engine's stream is worth moving. A stream whose endpoint is silent is moved in any case.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -156,6 +156,8 @@
     auto stop_seeking_replacement(relayed_call& call) -> void;
     auto renew_match(relayed_call& call) -> bool;
     auto place_elsewhere(relayed_call& call) -> placement;
+    [[nodiscard]] auto is_worth_asking(relayed_call const& call, tracked_endpoint const& endpoint) const
+        -> bool;
     auto reserve_replacement(relayed_call& call, time_point now) -> bool;
     auto take_replacement(relayed_call& call) -> bool;
 
--- a/include/hibiscuswall/serving/stream_takeover.hpp
+++ b/include/hibiscuswall/serving/stream_takeover.hpp
@@ -16,6 +16,7 @@
 #include "hibiscuswall/serving/endpoint_table.hpp"
 #include "hibiscuswall/serving/event_splitter.hpp"
 #include "hibiscuswall/serving/prompt_quarantine.hpp"
+#include "hibiscuswall/serving/service_map.hpp"
 
 #include <memory>
 #include <optional>
@@ -47,6 +48,9 @@
     suspicion suspicion_when_asked;         // of the prompt's segments
 };
 
+// How long after the caller's latest event the events of the present endpoint may be held back.
+[[nodiscard]] auto max_hold_time(call_route const& route) -> milliseconds;
+
 using stream_takeover_ptr = std::shared_ptr<stream_takeover>;
 
 } // namespace hibiscuswall
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -62,6 +62,15 @@
     return decision;
 }
 
+// Whether a stream at a sound engine would probably go on at the other one before its caller notices a pause.
+auto call_relay::is_worth_asking(relayed_call const& call, tracked_endpoint const& endpoint) const -> bool
+{
+    if (!call.response_started || call.seeks_replacement || !call.service->engine) return true;
+    auto const expected_ms = first_event_ms(endpoint, *call.service->engine, call.fields.prompt_tokens) +
+                             static_cast<double>(settings_.waiting.engine_overhead.count());
+    return expected_ms <= static_cast<double>(max_hold_time(*call.route).count());
+}
+
 // Reserves a slot at another endpoint. A call that has not begun is sent there next, a stream that has begun
 // once the endpoint has taken it. Returns whether there was a slot.
 auto call_relay::reserve_replacement(relayed_call& call, time_point now) -> bool
@@ -69,7 +78,8 @@
     if (call.connection == nullptr || !renew_match(call) || must_decide_again(call, now)) return false;
     auto const decision = place_elsewhere(call);
     auto const* found = std::get_if<placed>(&decision);
-    if (found == nullptr || !retry_budget_for(call.service->name).try_spend(now)) return false;
+    if (found == nullptr || !is_worth_asking(call, *found->endpoint)) return false;
+    if (!retry_budget_for(call.service->name).try_spend(now)) return false;
     if (call.response_started) {
         begin_takeover(call, found->endpoint, now);
         return true;
--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -9,8 +9,6 @@
 namespace hibiscuswall {
 namespace {
 
-constexpr auto default_target_gap = milliseconds{300}; // of routes that specify none
-constexpr auto max_hold_fraction = 0.8;                // of the target gap, since the caller's latest event
 constexpr auto max_held_bytes = std::size_t{256 * 1024};
 constexpr auto retry_delay = milliseconds{250}; // after the first takeover that was stopped, then doubled
 constexpr auto max_stopped_takeovers = 4;       // of one stream
@@ -22,14 +20,6 @@
     failed,     // anything else
 };
 
-// The time until which the pause in the stream is no longer than its caller expects.
-auto latest_event_time(relayed_call const& call) -> time_point
-{
-    auto const gap = call.route->target_gap.count() > 0 ? call.route->target_gap : default_target_gap;
-    return call.last_event_at +
-           milliseconds{static_cast<long long>(static_cast<double>(gap.count()) * max_hold_fraction)};
-}
-
 auto answer_to_resume(relayed_call const& call, stream_takeover& takeover) -> resume_answer
 {
     auto& parser = takeover.parser;
@@ -100,7 +90,7 @@
     ++call.send_count;
     takeover.state = takeover_state::asked;
     takeover.asked_at = now;
-    takeover.hold_until = latest_event_time(call);
+    takeover.hold_until = call.last_event_at + max_hold_time(*call.route);
     takeover.events = call.events;
     takeover.events.begin_response();
     takeover.events_when_asked = call.events.count();
