Follow the endpoint that has taken a stream, also if the other one has just completed it

Found by reading the takeover again: an engine that ended its stream between the other one's first event and the entry's next look at the connection counted as the one that completed it, after its held events had been dropped. A prompt on trial is no longer asked for at a second engine, and a rejection by the endpoint that the stream leaves counts as no run.

moved_streams.streams_that_end_while_they_are_taken_over_are_complete ends 24 streams around the moment at which they are taken. It guards the events of both runs.

--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -76,6 +76,8 @@
 auto call_relay::reserve_replacement(relayed_call& call, time_point now) -> bool
 {
     if (call.connection == nullptr || !renew_match(call) || must_decide_again(call, now)) return false;
+    // One call at a time tries a prompt that may crash engines, at one of them.
+    if (call.response_started && !call.trial_segments.empty()) return false;
     auto const decision = place_elsewhere(call);
     auto const* found = std::get_if<placed>(&decision);
     if (found == nullptr || !is_worth_asking(call, *found->endpoint)) return false;
--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -208,7 +208,7 @@
         record_send_outcome(call, left, outcome);
     call.tried_endpoints.insert(left.record.id);
     if (is_own_choice && !takeover.from_silent) call.ask_again_at[left.record.id] = now;
-    ++call.run_count;
+    if (!std::holds_alternative<send_rejected>(outcome)) ++call.run_count;
     release_slot(call);
 }
 
@@ -239,9 +239,10 @@
 {
     auto const is_held = call.takeover != nullptr && call.takeover->state != takeover_state::connecting;
     if (!is_held) co_return co_await call.out.write(events);
+    if (call.is_taken_over()) co_return true; // they are of the run that the stream has left
     call.held_events += events;
     auto const is_due = clock::now() >= call.takeover->hold_until || call.held_events.size() > max_held_bytes;
-    if (is_due && !call.is_taken_over()) stop_takeover(call, "the present endpoint goes on");
+    if (is_due) stop_takeover(call, "the present endpoint goes on");
     co_return true;
 }
 
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -286,6 +286,7 @@
         }
         parser.feed(bytes);
     }
+    if (call.is_taken_over()) co_return fail_stream("moved");
     if (call.events.pending() > 0) co_return fail_stream("stream ended within an event");
     // An endpoint that stopped after the header looks the same.
     auto const has_no_events = call.events.count() == events_of_earlier_responses;
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -67,6 +67,7 @@
     static constexpr auto report_interval = milliseconds{100};
     std::atomic<bool> reporting{true};
     std::atomic<int> paused_endpoint{0}; // number of the endpoint whose engine is reported as paused; 0: none
+    int slots = 4;                       // of each endpoint
     std::vector<address> engines;        // addresses of the endpoints
     std::thread reports;
 
@@ -80,7 +81,7 @@
     // Like configure(), but with an engine, and with attempts.
     auto configure_engine(int attempts)->void
     {
-        auto engine = json{{"slots", 4}, {"layers", 2}, {"chunks", 8}, {"chunkBytes", 1024}};
+        auto engine = json{{"slots", slots}, {"layers", 2}, {"chunks", 8}, {"chunkBytes", 1024}};
         engine["models"] = json::array({json{{"name", "m"}}});
         put("op/config",
             json{{"version", version++},
@@ -104,7 +105,7 @@
                                   {"address", endpoint.where().text()},
                                   {"zone", "north-a"},
                                   {"version", "v1"},
-                                  {"slots", 4},
+                                  {"slots", slots},
                                   {"state", "ready"},
                                   {"sequence", 1},
                                   {"models", json::array({json{{"name", "m"}, {"version", 1}}})},
@@ -240,6 +241,55 @@
     check_complete(response, events(1, resumed) + events(resumed + 1, 60, "other"));
 }
 
+// Guards against events that are lost where the engine ends the stream just as another one takes it.
+TEST(moved_streams, streams_that_end_while_they_are_taken_over_are_complete)
+{
+    constexpr auto streams = 24;
+    constexpr auto last_event =
+        25; // about 1 s after the first one, 100 ms to 300 ms after the streams are moved
+    auto const respond = [](auto const& request) {
+        auto response = scripted_response{stream_head(request)};
+        if (!is_resumed(request)) {
+            response.repeat_interval = milliseconds{40};
+            for (auto i = 1; i <= last_event; ++i)
+                response.pieces.push_back(chunk(events(i, i)));
+            response.pieces.push_back(end_of_chunks);
+            return response;
+        }
+        auto const next = std::stoi(request.header("last-event-id")) + 1;
+        auto const call = std::stoi(request.header("x-hibiscuswall-attempt-id").substr(5));
+        response.late_bytes = chunk(events(next, last_event, "other")) + end_of_chunks;
+        response.late_delay = milliseconds{8 * call};
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    slots = 2 * streams;
+    paused_endpoint = 2;
+    start_with_engines({&one, &two});
+    std::this_thread::sleep_for(2 * report_interval);
+    auto responses = std::vector<std::future<partial_response>>{};
+    for (auto i = 0; i < streams; ++i) {
+        auto request = next_request("/draft/x", "POST");
+        request.headers.set("X-Hibiscuswall-Deadline-Ms", "4000");
+        responses.push_back(std::async(std::launch::async, [this, request = std::move(request)]() mutable {
+            return call_and_keep_partial(callers, std::move(request));
+        }));
+    }
+    std::this_thread::sleep_for(milliseconds{100});
+    paused_endpoint = 1;
+    for (auto& each : responses) {
+        auto const response = each.get();
+        CHECK(response.complete);
+        auto own = 0; // events of the first run
+        while (response.body.starts_with(events(1, own + 1)))
+            ++own;
+        STRCMP_EQUAL((events(1, own) + events(own + 1, last_event, "other")).c_str(), response.body.c_str());
+    }
+    log_with("event=call_moved");
+    log_with("event=takeover_stopped");
+}
+
 // Guards against a stream that is late because an engine that was asked to take it sends nothing.
 TEST(moved_streams, a_stream_is_not_held_up_by_an_endpoint_that_takes_it_late)
 {
