Take no reset for the end of a response because a write has reported it

Cause: the kernel reports the reset to the write, and not again; the reads after it give the part and an end of file. The entry reads on after a failed write, since an endpoint may respond before it has read all, and took that end of file for a close by the endpoint, with which a response without length is complete.

Now a connection remembers that sending failed, and an end of file counts as a reset after that. A response that has its whole length is complete all the same.

--- a/include/hibiscuswall/serving/endpoint_connection.hpp
+++ b/include/hibiscuswall/serving/endpoint_connection.hpp
@@ -40,6 +40,9 @@
     endpoint_connection(asio::io_context& io, bool reused) : stream_{io}, reused_{reused} {}
 
     auto connect(address const& where, milliseconds timeout) -> asio::awaitable<boost::system::error_code>;
+
+    // False if not all of it was written. The endpoint may have responded all the same, before it closed or
+    // reset the connection.
     auto send(std::string const& bytes, time_point deadline) -> asio::awaitable<bool>;
 
     // Returns the next bytes, or an empty view if the connection ended; end() gives the reason.
@@ -65,6 +68,7 @@
     time_point idle_deadline_; // valid while the connection is in the pool
     bool reused_ = false;
     bool receiving_ = false; // receive() waits
+    bool send_failed_ = false;
 };
 
 using endpoint_connection_ptr = std::shared_ptr<endpoint_connection>;
--- a/src/serving/endpoint_connection.cpp
+++ b/src/serving/endpoint_connection.cpp
@@ -33,6 +33,7 @@
 {
     stream_.expires_after(deadline - clock::now());
     auto [code, size] = co_await asio::async_write(stream_, asio::buffer(bytes), awaitable_tuple);
+    if (code) send_failed_ = true;
     co_return !code;
 }
 
@@ -45,7 +46,9 @@
     receiving_ = false;
     if (!code) co_return std::string_view{buffer_.data(), size};
     end_ = connection_end::reset;
-    if (code == asio::error::eof) end_ = connection_end::closed;
+    // A reset that a write has reported is not reported again: the reads after it end as if the endpoint had
+    // closed the connection.
+    if (code == asio::error::eof && !send_failed_) end_ = connection_end::closed;
     if (code == boost::beast::error::timeout) end_ = connection_end::timed_out;
     if (code == asio::error::operation_aborted && is_open()) end_ = connection_end::interrupted;
     co_return std::string_view{};
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto backlog = 64;
+constexpr auto small_receive_buffer = 4096; // bytes: a long body is not written to its end
 constexpr auto receive_buffer_size = std::size_t{16 * 1024};
 
 auto parse_head(std::string const& head) -> scripted_request
@@ -54,13 +55,15 @@
 
 } // namespace
 
-scripted_endpoint::scripted_endpoint(respond_function respond, std::string const& ip)
-    : respond_{std::move(respond)}, where_{port_pool::next()}
+scripted_endpoint::scripted_endpoint(respond_function respond, std::string const& ip, body_reading reading)
+    : respond_{std::move(respond)}, reading_{reading}, where_{port_pool::next()}
 {
     where_.ip = ip;
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     auto const on = 1;
     ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (reading_ == body_reading::none)
+        ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &small_receive_buffer, sizeof small_receive_buffer);
     auto at = sockaddr_in{};
     at.sin_family = AF_INET;
     at.sin_port = htons(where_.port);
@@ -130,6 +133,19 @@
     ++closed_;
 }
 
+auto scripted_endpoint::respond_to_head(int socket, scripted_request request) -> void
+{
+    auto const response = respond_(request);
+    {
+        auto const guard = std::lock_guard{lock_};
+        requests_.push_back(std::move(request));
+    }
+    ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(response.late_delay);
+    if (response.reset) return reset_connection(socket);
+    ::shutdown(socket, SHUT_RDWR);
+}
+
 auto scripted_endpoint::serve(int socket) -> void
 {
     auto buffer = std::string{};
@@ -145,6 +161,7 @@
         auto request = parse_head(buffer.substr(0, end));
         request.number_on_connection = number;
         buffer.erase(0, end + 4);
+        if (reading_ == body_reading::none) return respond_to_head(socket, std::move(request));
         auto const size = static_cast<std::size_t>(std::atoi(request.header("content-length").c_str()));
         while (buffer.size() < size)
             if (!receive_more(socket, buffer)) return;
--- a/tests/support/scripted_endpoint.hpp
+++ b/tests/support/scripted_endpoint.hpp
@@ -48,7 +48,12 @@
 public:
     using respond_function = std::function<scripted_response(scripted_request const&)>;
 
-    explicit scripted_endpoint(respond_function respond, std::string const& ip = "127.0.0.1");
+    // Responds to the head of a request and never reads the body; `late_delay` passes before it resets or
+    // closes the connection.
+    enum class body_reading { complete, none };
+
+    explicit scripted_endpoint(respond_function respond, std::string const& ip = "127.0.0.1",
+                               body_reading reading = body_reading::complete);
     ~scripted_endpoint();
     scripted_endpoint(scripted_endpoint const&) = delete;
     auto operator=(scripted_endpoint const&) -> scripted_endpoint& = delete;
@@ -68,7 +73,10 @@
     auto stop_as_crashed() -> void;
     auto send_repeatedly(int socket, scripted_response const& response) -> void;
 
+    auto respond_to_head(int socket, scripted_request request) -> void;
+
     respond_function respond_;
+    body_reading reading_;
     address where_;
     int listener_ = -1;
     std::atomic<bool> stopping_{false};
