--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include "support/direct_entry_base.hpp"
+#include "support/direct_engine_base.hpp"
 
 using namespace hibiscuswall;
 
@@ -59,10 +59,8 @@
 
 } // namespace
 
-TEST_GROUP_BASE(moved_streams, direct_entry_base)
+TEST_GROUP_BASE(moved_streams, direct_engine_base)
 {
-    using respond_function = scripted_endpoint::respond_function;
-
     static constexpr auto short_pause = milliseconds{1'000};
     static constexpr auto report_interval = milliseconds{100};
     std::atomic<bool> reporting{true};
@@ -78,38 +76,15 @@
         direct_entry_base::teardown();
     }
 
-    // Like configure(), but with an engine, and with attempts.
-    auto configure_engine(int attempts)->void
-    {
-        auto engine = json{{"slots", slots}, {"layers", 2}, {"chunks", 8}, {"chunkBytes", 1024}};
-        engine["models"] = json::array({json{{"name", "m"}}});
-        put("op/config",
-            json{{"version", version++},
-                 {"routes", json::array({json{{"name", "draft"},
-                                              {"host", "a.example"},
-                                              {"prefix", "/draft/"},
-                                              {"kind", "streaming"},
-                                              {"timeoutMs", 4000},
-                                              {"targetLatencyMs", 200},
-                                              {"targetGapMs", 300},
-                                              {"maxAttempts", attempts},
-                                              {"service", "s"},
-                                              {"resumable", true}}})},
-                 {"services", json::array({json{{"name", "s"}, {"maxConnections", 50}, {"engine", engine}}})},
-                 {"tenants", json::array({json{{"name", "guild"}, {"apiKeys", account_keys}}})}});
-    }
-
-    auto put_engine(std::string const& id, scripted_endpoint const& endpoint)->void
+    static auto stream_route(int attempts)->json
     {
-        put("servers/" + id, json{{"service", "s"},
-                                  {"address", endpoint.where().text()},
-                                  {"zone", "north-a"},
-                                  {"version", "v1"},
-                                  {"slots", slots},
-                                  {"state", "ready"},
-                                  {"sequence", 1},
-                                  {"models", json::array({json{{"name", "m"}, {"version", 1}}})},
-                                  {"layers", json{{"from", 0}, {"target", 2}, {"version", 1}}}});
+        auto draft = route("draft", "/draft/");
+        draft.update({{"kind", "streaming"},
+                      {"resumable", true},
+                      {"timeoutMs", 4000},
+                      {"targetGapMs", 300},
+                      {"maxAttempts", attempts}});
+        return draft;
     }
 
     auto send_report(boost::asio::ip::udp::socket & socket, std::size_t engine)->void
@@ -126,9 +101,9 @@
 
     auto start_with_engines(std::vector<scripted_endpoint const*> const& endpoints, int attempts = 2)->void
     {
-        configure_engine(attempts);
+        configure_routes(json::array({stream_route(attempts)}), slots);
         for (auto i = std::size_t{0}; i < endpoints.size(); ++i) {
-            put_engine("i-" + std::to_string(i + 1), *endpoints[i]);
+            put_engine(*endpoints[i], "i-" + std::to_string(i + 1), slots);
             engines.push_back(endpoints[i]->where());
         }
         start_entry();
--- a/tests/support/direct_engine_base.hpp
+++ b/tests/support/direct_engine_base.hpp
@@ -18,37 +18,47 @@
                     {"timeoutMs", 2000}, {"targetLatencyMs", 200}, {"maxAttempts", 2}, {"service", "s"}};
     }
 
-    // Writes a configuration with a route to the engine's service and as many unused ones as asked for.
-    auto configure_engine(int unused_routes = 0) -> void
+    static auto engine_service(int slots) -> json
     {
-        auto engine = json{{"slots", 4}, {"layers", 2}, {"chunks", 8}, {"chunkBytes", 1024}};
+        auto engine = json{{"slots", slots}, {"layers", 2}, {"chunks", 8}, {"chunkBytes", 1024}};
         engine["models"] = json::array();
         engine["models"].push_back(json{{"name", "m"}});
         auto service = json{{"name", "s"}, {"maxConnections", 50}};
         service["engine"] = engine;
-        auto document = json{{"version", version++}};
-        document["routes"] = json::array();
-        document["routes"].push_back(route("read", "/read/"));
-        for (auto i = 0; i < unused_routes; ++i)
-            document["routes"].push_back(
-                route("unused-" + std::to_string(i), "/unused-" + std::to_string(i) + "/"));
+        return service;
+    }
+
+    // Writes a configuration with these routes to the engines' service.
+    auto configure_routes(json const& routes, int slots = 4) -> void
+    {
+        auto document = json{{"version", version++}, {"routes", routes}};
         document["services"] = json::array();
-        document["services"].push_back(service);
+        document["services"].push_back(engine_service(slots));
         document["tenants"] = json::array();
         document["tenants"].push_back(json{{"name", "guild"}, {"apiKeys", account_keys}});
         put("op/config", document);
     }
 
-    auto put_engine(scripted_endpoint const& endpoint) -> void
+    // Writes a configuration with a route to the engine's service and as many unused ones as asked for.
+    auto configure_engine(int unused_routes = 0) -> void
+    {
+        auto routes = json::array();
+        routes.push_back(route("read", "/read/"));
+        for (auto i = 0; i < unused_routes; ++i)
+            routes.push_back(route("unused-" + std::to_string(i), "/unused-" + std::to_string(i) + "/"));
+        configure_routes(routes);
+    }
+
+    auto put_engine(scripted_endpoint const& endpoint, std::string const& id = "i-1", int slots = 4) -> void
     {
         auto record = json{{"service", "s"},    {"address", endpoint.where().text()},
                            {"zone", "north-a"}, {"version", "v1"},
-                           {"slots", 4},        {"state", "ready"},
+                           {"slots", slots},    {"state", "ready"},
                            {"sequence", 1}};
         record["models"] = json::array();
         record["models"].push_back(json{{"name", "m"}, {"version", 1}});
         record["layers"] = json{{"from", 0}, {"target", 2}, {"version", 1}};
-        put("servers/i-1", record);
+        put("servers/" + id, record);
     }
 
     auto declare(std::uint64_t weights_version) -> void
