--- a/include/hibiscuswall/weights/switch_schedule.hpp
+++ b/include/hibiscuswall/weights/switch_schedule.hpp
@@ -40,9 +40,9 @@
 
 struct declared_version {
     std::uint64_t version = 1;
-    time_point declared_at;                       // earliest time at which it may have been declared
-    bool complete = false;                        // every chunk is held and verified
-    double held_fraction = 0;                     // fraction of the chunks that are held, 0 to 1
+    time_point declared_at;                         // earliest time at which it may have been declared
+    bool complete = false;                          // every chunk is held and verified
+    double held_fraction = 0;                       // fraction of the chunks that are held, 0 to 1
     std::optional<time_point> nearly_complete_at{}; // when that reached nearly_complete_fraction
 };
 
