Give the writing of an answer and the state of the HTTP server files of their own

The responder (server_responder) and the state that the coroutines share (http_server_state.hpp) move as they are; what the class declares in its header is defined in its source file.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,7 +1,9 @@
 #include "hibiscuswall/http/http_server.hpp"
 
 #include "disconnect_watch.hpp"
+#include "http_server_state.hpp"
 #include "read_limit.hpp"
+#include "server_responder.hpp"
 #include "unread_time.hpp"
 
 #include "hibiscuswall/core/timer.hpp"
@@ -14,12 +16,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <set>
 #include <vector>
 
 namespace hibiscuswall {
@@ -49,167 +49,6 @@
     return request;
 }
 
-auto is_transport_header(std::string_view name) -> bool
-{
-    return beast::iequals(name, "Content-Length") || beast::iequals(name, "Connection") ||
-           beast::iequals(name, "Transfer-Encoding");
-}
-
-} // namespace
-
-struct http_server::state : std::enable_shared_from_this<state> {
-    asio::io_context& io;
-    http_router const& routes;
-    timeline* events = nullptr;
-    http_server_limits limits;
-    tcp::acceptor acceptor;
-    bool stopping = false;
-    bool closing = false; // connections end with their next answer
-    std::size_t connections = 0;
-    std::size_t active = 0;
-    std::set<beast::tcp_stream*> idle; // kept-alive connections without a request
-
-    state(asio::io_context& context, http_router const& table, timeline* line, http_server_limits bounds)
-        : io{context}, routes{table}, events{line}, limits{bounds}, acceptor{context}
-    {
-    }
-
-    auto accept_loop() -> asio::awaitable<void>;
-    auto serve(tcp::socket socket) -> asio::awaitable<void>;
-    auto serve_requests(beast::tcp_stream& stream) -> asio::awaitable<void>;
-    auto handle(http_request const& request, http_responder& out) -> asio::awaitable<void>;
-};
-
-namespace {
-
-class responder final : public http_responder {
-public:
-    responder(beast::tcp_stream& stream, http_server::state& server, std::shared_ptr<disconnect_watch> watch,
-              bool keep_alive, bool is_head_request = false)
-        : stream_{stream}, server_{server}, watch_{std::move(watch)}, keep_alive_{keep_alive},
-          is_head_request_{is_head_request}
-    {
-    }
-
-    auto send(http_response response) -> asio::awaitable<bool> override
-    {
-        auto message = http::response<http::string_body>{static_cast<http::status>(response.status), 11};
-        copy_headers(message, response.headers);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
-        answered_ = true;
-        progress_ = answer_progress::begun;
-        stream_.expires_after(server_.limits.write_timeout);
-        if (is_head_request_) {
-            auto serializer = http::response_serializer<http::string_body>{message};
-            auto [code, size] = co_await http::async_write_header(stream_, serializer, awaitable_tuple);
-            if (!code) progress_ = answer_progress::complete;
-            co_return note(code);
-        }
-        auto [code, size] = co_await http::async_write(stream_, message, awaitable_tuple);
-        if (!code) progress_ = answer_progress::complete;
-        co_return note(code);
-    }
-
-    auto start(int status, http_headers headers) -> asio::awaitable<bool> override
-    {
-        auto message = http::response<http::empty_body>{static_cast<http::status>(status), 11};
-        copy_headers(message, headers);
-        message.chunked(true);
-        answered_ = true;
-        progress_ = answer_progress::begun;
-        streaming_ = true;
-        auto serializer = http::response_serializer<http::empty_body>{message};
-        stream_.expires_after(server_.limits.write_timeout);
-        auto [code, size] = co_await http::async_write_header(stream_, serializer, awaitable_tuple);
-        co_return note(code);
-    }
-
-    auto write(std::string_view piece) -> asio::awaitable<bool> override
-    {
-        if (piece.empty()) co_return !broken_;
-        if (broken_) co_return false;
-        if (is_head_request_) co_return true;
-        stream_.expires_after(server_.limits.write_timeout);
-        auto [code, size] = co_await asio::async_write(
-            stream_, http::make_chunk(asio::buffer(piece.data(), piece.size())), awaitable_tuple);
-        co_return note(code);
-    }
-
-    auto finish() -> asio::awaitable<bool> override
-    {
-        streaming_ = false;
-        if (broken_) co_return false;
-        if (is_head_request_) {
-            progress_ = answer_progress::complete;
-            co_return true;
-        }
-        stream_.expires_after(server_.limits.write_timeout);
-        auto [code, size] = co_await asio::async_write(stream_, http::make_chunk_last(), awaitable_tuple);
-        if (!code) progress_ = answer_progress::complete;
-        co_return note(code);
-    }
-
-    auto abort() -> void override
-    {
-        broken_ = true;
-        failure_ = "aborted";
-    }
-    auto on_disconnect(std::function<void()> callback) -> void override
-    {
-        if (!watch_->gone) {
-            watch_->callback = std::move(callback);
-            return;
-        }
-        callback();
-    }
-    [[nodiscard]] auto disconnected() const -> bool override { return watch_->gone || broken_; }
-
-    [[nodiscard]] auto progress() const -> answer_progress override { return progress_; }
-    [[nodiscard]] auto failure() const -> std::string override
-    {
-        return watch_->gone && failure_.empty() ? "caller " + watch_->end : failure_;
-    }
-    [[nodiscard]] auto answered() const -> bool { return answered_; }
-
-    // Whether the connection can carry another request: every byte of this answer left and was complete.
-    [[nodiscard]] auto reusable() const -> bool
-    {
-        return announced_keep_alive_ && answered_ && !streaming_ && !broken_ && !server_.stopping;
-    }
-
-private:
-    template<class Message>
-    auto copy_headers(Message& message, http_headers const& headers) -> void
-    {
-        for (auto const& header : headers.all())
-            if (!is_transport_header(header.name)) message.insert(header.name, header.value);
-        if (server_.events != nullptr) message.set("Hw-Clock", std::to_string(server_.events->tick()));
-        announced_keep_alive_ = keep_alive_ && !server_.stopping && !server_.closing;
-        message.keep_alive(announced_keep_alive_);
-    }
-
-    auto note(boost::system::error_code code) -> bool
-    {
-        if (!code) return true;
-        broken_ = true;
-        failure_ = "writing failed: " + code.message();
-        return false;
-    }
-
-    beast::tcp_stream& stream_;
-    http_server::state& server_;
-    std::shared_ptr<disconnect_watch> watch_;
-    bool keep_alive_;
-    bool is_head_request_;              // the answer has a header only
-    bool announced_keep_alive_ = false; // as the answer's header said
-    bool answered_ = false;
-    bool streaming_ = false;
-    bool broken_ = false;
-    answer_progress progress_ = answer_progress::none;
-    std::string failure_;
-};
-
 // Reads what the caller still sends. Closing a socket with unread bytes resets the connection, and a caller
 // whose write fails may never read its answer.
 auto discard_rest(beast::tcp_stream& stream, milliseconds time) -> asio::awaitable<void>
@@ -314,7 +153,7 @@
                        {"target", std::string{parser.get().target()}},
                        {"status", failure ? std::to_string(failure->status) : "none"}});
             if (!failure) co_return;
-            auto out = responder{stream, *this, watch, false};
+            auto out = server_responder{stream, *this, watch, false};
             co_await out.send(std::move(*failure));
             co_await discard_rest(stream, limits.linger_timeout);
             co_return;
@@ -325,7 +164,7 @@
         request.received = received;
         if (events != nullptr && request.headers.contains("Hw-Clock"))
             events->observe(static_cast<std::uint64_t>(request.headers.number("Hw-Clock", 0)));
-        auto out = responder{stream, *this, watch, keep_alive, request.method == "HEAD"};
+        auto out = server_responder{stream, *this, watch, keep_alive, request.method == "HEAD"};
         stream.expires_never();
         watch->arm();
         ++active;
@@ -352,7 +191,7 @@
     } catch (std::exception const& problem) {
         failed = problem.what();
     }
-    auto& answer = static_cast<responder&>(out);
+    auto& answer = static_cast<server_responder&>(out);
     if (!failed.empty())
         log_event(log_level::error, "http_handler_failed", {{"target", request.target}, {"reason", failed}});
     if (answer.answered()) co_return;
