Let no stream wait for an endpoint that cannot come

Seen in truncated_responses, which took 187 s in place of 4 s: since a begun stream waits until its deadline, one whose only endpoint has failed it waited as well, though nothing could continue it.

Now it waits while an endpoint may serve it that has not failed it: one that is full, pauses, lacks the weights that are due or rejected it. Where there is none, it ends at once.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -100,7 +100,9 @@
     auto retry_budget_for(std::string const& service) -> window_retry_budget&;
 
     // ---- call_endpoint.cpp
+    [[nodiscard]] auto placement_request(relayed_call const& call, time_point now) const -> placement_call;
     auto next_endpoint(relayed_call& call) -> placement;
+    [[nodiscard]] auto should_wait_to_resume(relayed_call const& call, time_point now) const -> bool;
     static auto remember_unwilling_endpoint(relayed_call& call, tracked_endpoint const& endpoint,
                                             send_outcome const& outcome, time_point now) -> void;
     static auto remember_lost_connection(relayed_call& call, tracked_endpoint const& endpoint,
--- a/include/hibiscuswall/serving/placement.hpp
+++ b/include/hibiscuswall/serving/placement.hpp
@@ -80,6 +80,11 @@
                          failure_domain_set const& out_of_service, placement_settings const& settings,
                          time_point now, random_source& random) -> placement;
 
+// Whether an endpoint may serve the call, now or once it is free, has the weights that are due, or takes
+// calls again.
+[[nodiscard]] auto may_be_served_later(placement_call const& call, std::span<endpoint_ptr const> endpoints,
+                                       failure_domain_set const& out_of_service) -> bool;
+
 // Estimated time to the first event of a call with this prompt, queued behind the prompts that the engine
 // still has to process.
 [[nodiscard]] auto first_event_ms(tracked_endpoint const& endpoint, engine_profile const& engine,
--- a/src/serving/call_endpoint.cpp
+++ b/src/serving/call_endpoint.cpp
@@ -27,29 +27,33 @@
 
 } // namespace
 
+auto call_relay::placement_request(relayed_call const& call, time_point now) const -> placement_call
+{
+    auto request = placement_call{};
+    request.service = call.service->name;
+    request.definition = call.service;
+    request.route_regions = call.route->regions;
+    if (call.account != nullptr) request.account_regions = call.account->regions;
+    request.tried_endpoints = &call.tried_endpoints;
+    request.prompt_tokens = call.fields.prompt_tokens;
+    request.region = region_;
+    if (!call.service->engine) return request;
+    auto const& model = call.service->engine->model;
+    request.min_version = declared_state_.min_version(model, now);
+    if (call.response_started) request.preferred_version = declared_state_.newest_version(model);
+    return request;
+}
+
 auto call_relay::next_endpoint(relayed_call& call) -> placement
 {
     auto const now = clock::now();
     forget_earlier_answers(call, now);
-    auto placement_request = placement_call{};
-    placement_request.service = call.service->name;
-    placement_request.definition = call.service;
-    placement_request.route_regions = call.route->regions;
-    if (call.account != nullptr) placement_request.account_regions = call.account->regions;
-    placement_request.tried_endpoints = &call.tried_endpoints;
-    placement_request.prompt_tokens = call.fields.prompt_tokens;
-    placement_request.region = region_;
-    placement_request.is_first_search = !std::exchange(call.is_counted_as_demand, true);
-    if (call.service->engine) {
-        auto const& model = call.service->engine->model;
-        placement_request.min_version = declared_state_.min_version(model, now);
-        if (call.response_started)
-            placement_request.preferred_version = declared_state_.newest_version(model);
-    }
+    auto request = placement_request(call, now);
+    request.is_first_search = !std::exchange(call.is_counted_as_demand, true);
     auto const candidates = endpoints_.endpoints_of_service(call.service->name);
     auto const place_call = [&] {
-        return place(placement_request, candidates, declared_state_.out_of_service(), settings_.placement,
-                     now, random_);
+        return place(request, candidates, declared_state_.out_of_service(), settings_.placement, now,
+                     random_);
     };
     auto decision = place_call();
     if (has_no_endpoint(decision) && !call.endpoint_to_reconnect.empty()) {
@@ -59,6 +63,20 @@
     return admit_by_priority(call, std::move(decision), now);
 }
 
+// Whether a stream that has begun should wait for an endpoint: it has time, and there is one that has not
+// failed it.
+auto call_relay::should_wait_to_resume(relayed_call const& call, time_point now) const -> bool
+{
+    if (!call.can_still_resume(now)) return false;
+    auto failed_endpoints = call.tried_endpoints;
+    for (auto const& [id, at] : call.ask_again_at)
+        failed_endpoints.erase(id);
+    auto request = placement_request(call, now);
+    request.tried_endpoints = &failed_endpoints;
+    return may_be_served_later(request, endpoints_.endpoints_of_service(call.service->name),
+                               declared_state_.out_of_service());
+}
+
 // A call gets this once: its later sends use new connections.
 auto call_relay::remember_lost_connection(relayed_call& call, tracked_endpoint const& endpoint,
                                           send_outcome const& outcome) -> void
--- a/src/serving/call_relay.cpp
+++ b/src/serving/call_relay.cpp
@@ -192,7 +192,7 @@
         if (!is_replaced) decision = co_await select_endpoint(call);
         if (call.caller_disconnected) break;
         if (auto const* rejection = std::get_if<rejected>(&decision)) {
-            if (call.can_still_resume(clock::now())) {
+            if (should_wait_to_resume(call, clock::now())) {
                 co_await pause_before_resuming(call);
                 continue;
             }
@@ -203,7 +203,7 @@
         auto const needs_retry = call.send_count > 0 && !is_replaced;
         if (needs_retry && !retry_budget_for(call.service->name).try_spend(clock::now())) {
             release_slot(call);
-            if (call.can_still_resume(clock::now())) {
+            if (should_wait_to_resume(call, clock::now())) {
                 co_await pause_before_resuming(call);
                 continue;
             }
--- a/src/serving/call_waiting.cpp
+++ b/src/serving/call_waiting.cpp
@@ -57,7 +57,7 @@
     // Calls that are already waiting have precedence.
     auto const overtakes = rejection == nullptr && wait_queue_.size() > 0;
     if (rejection == nullptr && !overtakes) co_return decision;
-    auto const must_resume = call.can_still_resume(clock::now());
+    auto const must_resume = should_wait_to_resume(call, clock::now());
     if (rejection != nullptr && !must_resume && !may_become_free(*rejection)) co_return decision;
     auto const started_at = clock::now();
     set_queue_entry(call, started_at);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -23,14 +23,21 @@
            weights->end_layer >= engine.layers;
 }
 
-auto may_serve(placement_call const& call, tracked_endpoint const& endpoint,
-               failure_domain_set const& out_of_service) -> bool
+// Whether the endpoint may serve the call now or later.
+auto is_eligible(placement_call const& call, tracked_endpoint const& endpoint,
+                 failure_domain_set const& out_of_service) -> bool
 {
     if (!endpoint.listed || endpoint.record.draining || endpoint.leaving) return false;
     if (out_of_service.contains(endpoint.record.failure_domain)) return false;
     if (!allows(call.route_regions, endpoint.region)) return false;
     if (!allows(call.account_regions, endpoint.region)) return false;
-    if (call.tried_endpoints != nullptr && call.tried_endpoints->contains(endpoint.record.id)) return false;
+    return call.tried_endpoints == nullptr || !call.tried_endpoints->contains(endpoint.record.id);
+}
+
+auto may_serve(placement_call const& call, tracked_endpoint const& endpoint,
+               failure_domain_set const& out_of_service) -> bool
+{
+    if (!is_eligible(call, endpoint, out_of_service)) return false;
     if (!call.definition->engine) return true;
     if (endpoint.news && endpoint.news->paused) return false;
     return holds_weights(endpoint, *call.definition->engine, call.min_version);
@@ -166,6 +173,14 @@
     return endpoint.recent_sends.count(now) + 1 <= total_limit / sharing_entries;
 }
 
+auto may_be_served_later(placement_call const& call, std::span<endpoint_ptr const> endpoints,
+                         failure_domain_set const& out_of_service) -> bool
+{
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](endpoint_ptr const& endpoint) {
+        return is_eligible(call, *endpoint, out_of_service);
+    });
+}
+
 auto place(placement_call const& call, std::span<endpoint_ptr const> endpoints,
            failure_domain_set const& out_of_service, placement_settings const& settings, time_point now,
            random_source& random) -> placement
