Switch to a late newer version before the deadline of the older one that is lacking

Callers see fewer engines: one that never gets an older declared version (with three versions close together it is no longer fetched) and has a newer one late, waited in the order of the newer one's time, up to 7 s after the newer declaration. The older version's grace period ends before that, and the engine, which still holds the version before both, is out of use until its turn.

The time to wait in is now that of the oldest version that the engine lacks, as in switch_time.

switch_schedule.engines_that_lack_an_older_version_switch_to_a_late_newer_one_before_the_older_deadline failed before: rank 1, versions declared at 0 and 4 s, the newer one complete at 6.8 s: wait at 7 s in place of load.

--- a/src/weights/switch_schedule.cpp
+++ b/src/weights/switch_schedule.cpp
@@ -54,11 +54,13 @@
 auto due_time(weights_view const& view, switch_settings const& settings) -> time_point
 {
     auto const scheduled = switch_time(view, settings);
+    auto const oldest = std::find_if(view.declared.begin(), view.declared.end(),
+                                     [&](auto const& each) { return is_newer(each, view); });
     for (auto const& each : view.declared) {
         if (!is_newer(each, view) || !each.nearly_complete_at) continue;
         auto const ready_at = *each.nearly_complete_at;
         if (ready_at <= each.declared_at + settings.first_switch_delay) return scheduled;
-        auto const latest = std::max(ready_at, each.declared_at + settings.max_switch_delay);
+        auto const latest = std::max(ready_at, oldest->declared_at + settings.max_switch_delay);
         auto const left = std::chrono::duration_cast<milliseconds>(latest - ready_at);
         return std::max(scheduled, ready_at + fraction_of(left, view.rank));
     }
--- a/tests/unit/switch_schedule_test.cpp
+++ b/tests/unit/switch_schedule_test.cpp
@@ -161,6 +161,16 @@
     check(settings.max_switch_delay, weights_action::load, 2);
 }
 
+// Guards against engines that serve no calls: the older version is never complete, its deadline passes, and
+// they wait for each other until that of the newer one, which they have.
+TEST(switch_schedule, engines_that_lack_an_older_version_switch_to_a_late_newer_one_before_the_older_deadline)
+{
+    declared = {{2, start, false, 0.3}, {3, start + seconds{4}, true, 1.0, start + milliseconds{6'800}}};
+    view.staged = 3;
+    view.rank = 1.0;
+    check(settings.max_switch_delay, weights_action::load, 3);
+}
+
 // ---- fetch window
 
 TEST_GROUP(fetch_window){};
