Let a begun stream leave a silent engine that was to change its weights

Callers saw a stream without events until its deadline, and then a closed connection: its engine was paused for a change of weights and then fell silent. check_progress looked at the pause first and returned, so that the stream was never counted as stalled; with more than a few hundred prompt tokens no other engine is worth asking for a stream at a sound engine (is_worth_asking). A paused engine keeps its last report, so that this also holds for a host that is cut off.

Silence now goes before the pause for a stream that has begun. A call that has not begun is moved as before.

--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -11,12 +11,15 @@
     if (call.replacement != nullptr) return;
     if (call.takeover != nullptr) return check_takeover(call, now);
     if (now < call.next_takeover_at) return stop_seeking_replacement(call);
-    if (!call.moved && should_move(call, settings_.stalls, now)) {
+    auto const is_silent = has_stalled(call, settings_.stalls, now);
+    // A stream that has begun leaves a silent engine even if that is to change its weights.
+    auto const may_move = !call.moved && !(call.response_started && is_silent);
+    if (may_move && should_move(call, settings_.stalls, now)) {
         reserve_replacement(call, now);
         return;
     }
     if (call.connection == nullptr) return;
-    if (has_stalled(call, settings_.stalls, now))
+    if (is_silent)
         seek_replacement(call);
     else
         stop_seeking_replacement(call);
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -66,7 +66,10 @@
     std::atomic<bool> reporting{true};
     std::atomic<int> paused_endpoint{0}; // number of the endpoint whose engine is reported as paused; 0: none
     int slots = 4;                       // of each endpoint
-    std::vector<address> engines;        // addresses of the endpoints
+    int prompt_tokens = 0;               // of each call
+    std::string request_body;            // of each call
+    milliseconds stream_timeout{4'000};
+    std::vector<address> engines; // addresses of the endpoints
     std::thread reports;
 
     void teardown() override
@@ -76,12 +79,12 @@
         direct_entry_base::teardown();
     }
 
-    static auto stream_route(int attempts)->json
+    auto stream_route(int attempts) const->json
     {
         auto draft = route("draft", "/draft/");
         draft.update({{"kind", "streaming"},
                       {"resumable", true},
-                      {"timeoutMs", 4000},
+                      {"timeoutMs", stream_timeout.count()},
                       {"targetGapMs", 300},
                       {"maxAttempts", attempts}});
         return draft;
@@ -122,8 +125,10 @@
     auto ask_stream()->partial_response
     {
         auto request = next_request("/draft/x", "POST");
-        request.headers.set("X-Hibiscuswall-Deadline-Ms", "4000");
-        return call_and_keep_partial(callers, std::move(request));
+        request.headers.set("X-Hibiscuswall-Deadline-Ms", std::to_string(stream_timeout.count()));
+        request.headers.set("X-Hibiscuswall-Token-Usage", std::to_string(prompt_tokens) + ",80");
+        request.body = request_body;
+        return call_and_keep_partial(callers, std::move(request), stream_timeout + seconds{1});
     }
 
     // Asks for a stream and reports the engine that runs it as one that changes its weights.
@@ -355,3 +360,17 @@
     start_with_engines({&one, &two, &three}, 3);
     check_complete(ask_stream(), events(1, 2) + events(3, 5, "other"));
 }
+
+// Guards against a stream that stays with a dead engine until its deadline: the engine was to change its
+// weights when it fell silent, and counts as sound for good.
+TEST(moved_streams, a_stream_leaves_an_engine_that_falls_silent_before_it_changes_its_weights)
+{
+    auto const respond = [](auto const& request) {
+        return is_resumed(request) ? continued_stream(request) : pausing_stream(request, milliseconds{5'000});
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    prompt_tokens = 600; // more than another engine processes within the gap that the caller accepts
+    start_with_engines({&one, &two});
+    check_complete(ask_stream_and_pause_its_engine({&one, &two}), events(1, 2) + events(3, 5, "other"));
+}
--- a/tests/support/direct_engine_base.hpp
+++ b/tests/support/direct_engine_base.hpp
@@ -12,6 +12,8 @@
 namespace hibiscuswall {
 
 struct direct_engine_base : direct_entry_base {
+    std::size_t max_body_bytes = 4U << 20U; // of a request
+
     static auto route(std::string const& name, std::string const& prefix) -> json
     {
         return json{{"name", name},      {"host", "a.example"},    {"prefix", prefix}, {"kind", "idempotent"},
@@ -32,6 +34,7 @@
     auto configure_routes(json const& routes, int slots = 4) -> void
     {
         auto document = json{{"version", version++}, {"routes", routes}};
+        document["limits"] = json{{"maxBodyBytes", max_body_bytes}};
         document["services"] = json::array();
         document["services"].push_back(engine_service(slots));
         document["tenants"] = json::array();
