Ask for a stream at a silent endpoint as long as it is silent

Callers saw a stream without events until its deadline: its endpoint was silent, and the others had rejected the takeover four times within 1.8 s, as engines that change their weights together do. max_stopped_takeovers then ended all takeovers of the stream, also the one from an endpoint that never responds again, and the pauses between them doubled without a bound.

The limit now applies to moves from sound engines only, and the pause is 1 s at most. The retry budget and the attempts of the route still bound the requests.

--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -122,6 +122,7 @@
     std::string taken_events;     // first events of the endpoint that has taken the stream, to be passed on
     int stopped_takeovers = 0;    // without success
     time_point next_takeover_at;  // not before
+    bool stays_if_sound = false;  // leaves its endpoint only if that falls silent
     int rejected_resumes = 0;     // in a row
 
     bool caller_disconnected = false; // the caller has closed its connection
--- a/src/serving/call_replacement.cpp
+++ b/src/serving/call_replacement.cpp
@@ -13,7 +13,7 @@
     if (now < call.next_takeover_at) return stop_seeking_replacement(call);
     auto const is_silent = has_stalled(call, settings_.stalls, now);
     // A stream that has begun leaves a silent engine even if that is to change its weights.
-    auto const may_move = !call.moved && !(call.response_started && is_silent);
+    auto const may_move = !call.moved && !call.stays_if_sound && !(call.response_started && is_silent);
     if (may_move && should_move(call, settings_.stalls, now)) {
         reserve_replacement(call, now);
         return;
--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -11,7 +11,8 @@
 
 constexpr auto max_held_bytes = std::size_t{256 * 1024};
 constexpr auto retry_delay = milliseconds{250}; // after the first takeover that was stopped, then doubled
-constexpr auto max_stopped_takeovers = 4;       // of one stream
+constexpr auto max_retry_doublings = 2;
+constexpr auto max_stopped_takeovers = 4; // of one stream; then it leaves only a silent endpoint
 
 enum class resume_answer {
     incomplete, // not known yet
@@ -152,8 +153,8 @@
     if (takeover->connection != nullptr) takeover->connection->close();
     takeover->endpoint->unprocessed_prompt_tokens -= std::exchange(takeover->unprocessed_prompt_tokens, 0);
     endpoint_table::record_end(*takeover->endpoint);
-    call.next_takeover_at = now + retry_delay * (1 << call.stopped_takeovers);
-    if (++call.stopped_takeovers >= max_stopped_takeovers) call.next_takeover_at = call.deadline;
+    call.next_takeover_at = now + retry_delay * (1 << std::min(call.stopped_takeovers, max_retry_doublings));
+    call.stays_if_sound = ++call.stopped_takeovers >= max_stopped_takeovers;
     if (call.connection != nullptr) call.connection->interrupt();
     if (call.wait_timer != nullptr) call.wait_timer->cancel();
 }
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -374,3 +374,20 @@
     start_with_engines({&one, &two});
     check_complete(ask_stream_and_pause_its_engine({&one, &two}), events(1, 2) + events(3, 5, "other"));
 }
+
+// Guards against a stream that stays with a silent endpoint until its deadline, because the others have
+// rejected it for a moment.
+TEST(moved_streams, a_stream_leaves_a_silent_endpoint_once_another_takes_it)
+{
+    auto rejections = std::atomic<int>{0};
+    auto const respond = [&](auto const& request) {
+        if (!is_resumed(request)) return pausing_stream(request, milliseconds{9'000});
+        return ++rejections <= 4 ? full(request) : continued_stream(request);
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    auto three = scripted_endpoint{respond};
+    stream_timeout = milliseconds{8'000};
+    start_with_engines({&one, &two, &three});
+    check_complete(ask_stream(), events(1, 2) + events(3, 5, "other"));
+}
