Close the connection to the endpoint that a stream leaves as soon as another has taken it

Callers saw a stream that stopped although another endpoint had taken it: the present endpoint did not read the request to its end (a resumed stream with a long request, at a frozen endpoint), and interrupt() ends only a read. The entry waited for the write until the deadline, and passed on only then what the other endpoint had sent.

on_taken now closes the connection, which ends a write as well. A read that ends by it is recognized by is_taken_over.

--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -136,7 +136,7 @@
 {
     takeover.state = takeover_state::taken;
     call.held_events.clear();
-    if (call.connection != nullptr) call.connection->interrupt();
+    if (call.connection != nullptr) call.connection->close();
     if (call.wait_timer != nullptr) call.wait_timer->cancel();
 }
 
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -180,7 +180,7 @@
             if (call.is_taken_over()) co_return send_interrupted{"moved"};
             auto const bytes = co_await connection->receive(call.deadline);
             if (bytes.empty()) {
-                if (connection->end() == connection_end::interrupted) continue;
+                if (connection->end() == connection_end::interrupted || call.is_taken_over()) continue;
                 if (call.closed_as_moved) co_return send_failed{"moved"};
                 if (call.closed_as_stalled) co_return send_failed{"silent"};
                 if (connection->end() == connection_end::timed_out) co_return send_failed{"late"};
@@ -276,7 +276,7 @@
         if (parser.state() == response_state::complete) break;
         auto const bytes = co_await connection->receive(call.deadline);
         if (bytes.empty()) {
-            if (connection->end() == connection_end::interrupted) continue;
+            if (connection->end() == connection_end::interrupted || call.is_taken_over()) continue;
             if (call.closed_as_moved) co_return fail_stream("moved");
             if (call.closed_as_stalled) co_return fail_stream("silent");
             if (connection->end() == connection_end::timed_out) co_return fail_stream("late");
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -391,3 +391,36 @@
     start_with_engines({&one, &two, &three});
     check_complete(ask_stream(), events(1, 2) + events(3, 5, "other"));
 }
+
+// Guards against a stream that another endpoint has taken, and that waits until its deadline for the one that
+// it leaves to read the request.
+TEST(moved_streams, a_stream_leaves_an_endpoint_that_does_not_read_its_request)
+{
+    auto const respond = [](auto const& request) {
+        if (is_resumed(request)) return continued_stream(request);
+        auto response = scripted_response{stream_head(request) + chunk(events(1, 2)), true};
+        response.delay = milliseconds{300};
+        return response;
+    };
+    auto const fall_silent = [](auto const& /*request*/) {
+        auto response = scripted_response{};
+        response.late_delay = milliseconds{4'000};
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    auto three = scripted_endpoint{fall_silent, "127.0.0.1", scripted_endpoint::body_reading::none};
+    request_body = std::string(12U << 20U, 'x'); // more than the send buffer of a connection takes
+    max_body_bytes = 2 * request_body.size();
+    paused_endpoint = 3;
+    start_with_engines({&one, &two, &three}, 3);
+    std::this_thread::sleep_for(2 * report_interval);
+    auto response = std::async(std::launch::async, [&] { return ask_stream(); });
+    CHECK(await_condition(seconds{2}, [&] { return one.requests().size() + two.requests().size() == 1; }));
+    paused_endpoint = one.requests().empty() ? 1 : 2; // the other one: only the third can take the stream
+    CHECK(await_condition(seconds{2}, [&] { return three.requests().size() == 1; }));
+    paused_endpoint = 0;
+    auto const sent_at = clock::now();
+    check_complete(response.get(), events(1, 2) + events(3, 5, "other"));
+    CHECK(clock::now() - sent_at < seconds{2}); // it was silent for 800 ms
+}
