Decide with the feed whether events are held back

By reading, no run shows it: the first events of a stream are fed to the splitter, and the head of the response is written before pass_on() decides whether to hold them back. response_started is set by then. A takeover that begins during that write, on a kept connection and thus at once (a call that waited in the replacement queue when its first event came, and a slot that becomes free; or an engine paused for 700 ms), copies the splitter and continues after these events; pass_on() holds them back, and they are dropped when the other endpoint sends its first event. The caller misses the beginning of the stream.

--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -236,10 +236,14 @@
 // ---- the caller's events
 
 // Passes complete events on, or holds them back while another endpoint is asked to continue after them.
-auto call_relay::pass_on(relayed_call& call, std::string_view events) -> asio::awaitable<bool>
+auto call_relay::holds_events(relayed_call const& call) -> bool
 {
-    auto const is_held = call.takeover != nullptr && call.takeover->state != takeover_state::connecting;
-    if (!is_held) co_return co_await call.out.write(events);
+    return call.takeover != nullptr && call.takeover->state != takeover_state::connecting;
+}
+
+auto call_relay::pass_on(relayed_call& call, std::string_view events, bool are_held) -> asio::awaitable<bool>
+{
+    if (!are_held) co_return co_await call.out.write(events);
     if (call.is_taken_over()) co_return true; // they are of the run that the stream has left
     call.held_events += events;
     auto const is_due = clock::now() >= call.takeover->hold_until || call.held_events.size() > max_held_bytes;
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -262,6 +262,8 @@
         if (!co_await pass_on_held_events(call)) co_return fail_stream("caller disconnected");
         auto const events_before = taken_events.empty() ? call.events.count() : events_of_earlier_responses;
         auto const complete_events = std::exchange(taken_events, {}) + call.events.feed(parser.take_body());
+        // Decided with the feed: an endpoint that is asked from now on continues after these events.
+        auto const are_held = holds_events(call);
         if (call.events.pending() > max_event_bytes) co_return fail_stream("event exceeds the size limit");
         if (!call.hold(call.events.pending())) co_return fail_stream(responses_too_large(metrics_registry_));
         if (!complete_events.empty()) {
@@ -269,7 +271,8 @@
             call.on_prompt_processed();
             record_prompt_progress(call, false);
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
-            if (!co_await pass_on(call, complete_events)) co_return fail_stream("caller disconnected");
+            if (!co_await pass_on(call, complete_events, are_held))
+                co_return fail_stream("caller disconnected");
         }
         if (!call.events.continues()) co_return fail_stream("events do not continue the stream");
         if (parser.state() == response_state::invalid) co_return fail_stream("response is not valid HTTP");
