Move no stream whose endpoint has completed it

If the connection to the endpoint is not kept (a stream without length, or Connection: close), call.connection is still set during that write. With a slow caller or a paused engine, check_progress then asked another endpoint; if that took the stream, its events would have been written after the last chunk, and else the call waited for it with the caller connection.

The call now gives its connection back, or closes it, before these writes.

--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -296,10 +296,13 @@
     if (has_no_events && (is_resumed || parser.ends_with_connection()))
         co_return fail_stream("stream ended without an event");
     stop_takeover(call, "its endpoint has completed the stream");
+    // A call without a connection is not moved while the rest is written to a slow caller.
+    return_connection(call, parser);
+    if (call.connection != nullptr) call.connection->close();
+    call.connection = nullptr;
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
     if (!co_await pass_on_held_events(call)) co_return fail_stream("caller disconnected");
     if (!parser.ends_with_connection()) record_prompt_progress(call, true);
-    return_connection(call, parser);
     co_await call.out.finish();
     co_return send_streamed{};
 }
