--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -82,7 +82,9 @@
 {
     auto const now = clock::now();
     auto& endpoint = *takeover.endpoint;
-    if (!endpoint.accepts_calls(now) || must_decide_again(call, now) ||
+    // The present endpoint may have sent an event without an id meanwhile.
+    auto const may_resume = call.may_run_after(call.run_count + 1) && call.deadline - now >= milliseconds{1};
+    if (!may_resume || !endpoint.accepts_calls(now) || must_decide_again(call, now) ||
         !may_be_written(endpoint, std::exchange(takeover.permit, std::nullopt), now)) {
         stop_takeover(call, "withheld");
         co_return false;
