Let streams_that_end_while_they_are_taken_over_are_complete meet a stopped takeover in each run

The test asks for both log lines, a move and a takeover that was stopped. Whether one is stopped depended on the phase of the load reports: streams end 960 ms after their first event, and with the earliest move at 800 ms all are taken by 992 ms.

The other engine now answers up to 288 ms after it was asked, later than the 240 ms for which events are held back, so that the last ones are stopped in each run.

--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -239,7 +239,7 @@
         auto const next = std::stoi(request.header("last-event-id")) + 1;
         auto const call = std::stoi(request.header("x-hibiscuswall-attempt-id").substr(5));
         response.late_bytes = chunk(events(next, last_event, "other")) + end_of_chunks;
-        response.late_delay = milliseconds{8 * call};
+        response.late_delay = milliseconds{12 * call}; // the last ones are too late
         return response;
     };
     auto one = scripted_endpoint{respond};
