Suspect the prompt if an engine ends after the head of the response with which it was to take a stream

Callers may lose more engines to one prompt than needed: on_resume_response looked for a crash only if no head had arrived. An engine may send the head before it begins with the prompt; send() treats it as a suspect.

Any response that broke off is looked at now, as in may_be_crash.

moved_streams.an_engine_that_ends_as_it_takes_a_stream_may_have_been_crashed_by_the_prompt failed before (no crash_suspect in the log).

--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -126,7 +126,9 @@
     endpoint_table::record_failure(endpoint, clock::now());
     call.tried_endpoints.insert(endpoint.record.id);
     auto const leaves = endpoint.leaving || endpoint.record.draining;
-    if (!takeover.parser.has_head() && goes_to_engine(call) && !leaves)
+    auto const& parser = takeover.parser;
+    auto const has_responded = parser.state() == response_state::complete && !parser.ends_with_connection();
+    if (!has_responded && goes_to_engine(call) && !leaves)
         start_task(io_.get_executor(), "crash_check",
                    record_crash(call.fields.call_id, {prompt_of(call), takeover.suspicion_when_asked},
                                 endpoint.record),
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -67,6 +67,7 @@
     std::atomic<int> paused_endpoint{0}; // number of the endpoint whose engine is reported as paused; 0: none
     int slots = 4;                       // of each endpoint
     int prompt_tokens = 0;               // of each call
+    std::string prompt_segments;         // of each call
     std::string request_body;            // of each call
     milliseconds stream_timeout{4'000};
     std::vector<address> engines; // addresses of the endpoints
@@ -127,6 +128,10 @@
         auto request = next_request("/draft/x", "POST");
         request.headers.set("X-Hibiscuswall-Deadline-Ms", std::to_string(stream_timeout.count()));
         request.headers.set("X-Hibiscuswall-Token-Usage", std::to_string(prompt_tokens) + ",80");
+        if (!prompt_segments.empty()) {
+            request.headers.set("X-Hibiscuswall-Model", "m");
+            request.headers.set("X-Hibiscuswall-Prompt-Prefix", prompt_segments);
+        }
         request.body = request_body;
         return call_and_keep_partial(callers, std::move(request), stream_timeout + seconds{1});
     }
@@ -424,3 +429,21 @@
     check_complete(response.get(), events(1, 2) + events(3, 5, "other"));
     CHECK(clock::now() - sent_at < seconds{2}); // it was silent for 800 ms
 }
+
+// Guards against prompts that crash one engine after the other: an engine that ends after the head of its
+// response, as it begins with a stream that it was to take, counts as one that the prompt may have crashed.
+TEST(moved_streams, an_engine_that_ends_as_it_takes_a_stream_may_have_been_crashed_by_the_prompt)
+{
+    auto const respond = [](auto const& request) {
+        if (!is_resumed(request)) return pausing_stream(request, milliseconds{2'000});
+        auto response = scripted_response{stream_head(request)};
+        response.ends_endpoint = true;
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    prompt_segments = "dead:40,own:10";
+    start_with_engines({&one, &two});
+    check_complete(ask_stream(), events(1, 5));
+    log_with("event=crash_suspect");
+}
