Take no caller that reads slowly for a silent endpoint

A stream whose caller did not read for 1.2 s counted as stalled, since the entry reads nothing from the endpoint while it writes: a second run was asked for, and had it taken the stream, the sound endpoint had lost it and counted a failure.

An endpoint does not count as silent while events are written to the caller, and its time begins anew after that.

moved_streams.a_stream_stays_with_its_endpoint_while_the_caller_does_not_read failed before: two requests, the second one as takeover cause=silent.

--- a/include/hibiscuswall/serving/call_relay.hpp
+++ b/include/hibiscuswall/serving/call_relay.hpp
@@ -147,6 +147,7 @@
     auto await_takeover(relayed_call& call) -> asio::awaitable<void>;
     auto leave_endpoint(relayed_call& call, send_outcome const& outcome) -> void;
     auto relay_taken_stream(relayed_call& call) -> asio::awaitable<send_outcome>;
+    auto write_to_caller(relayed_call& call, std::string_view events) -> asio::awaitable<bool>;
     static auto holds_events(relayed_call const& call) -> bool;
     auto pass_on(relayed_call& call, std::string_view events, bool are_held) -> asio::awaitable<bool>;
     auto pass_on_held_events(relayed_call& call) -> asio::awaitable<bool>;
--- a/include/hibiscuswall/serving/relayed_call.hpp
+++ b/include/hibiscuswall/serving/relayed_call.hpp
@@ -108,6 +108,7 @@
     time_point sent_at;                     // start of sending the request
     time_point last_progress_at;            // the header, an event, or a part of a plain body arrived
     std::size_t body_bytes_at_progress = 0; // of a plain body, at last_progress_at
+    bool waits_for_caller = false;          // events are being written to the caller
     bool closed_as_stalled = false;         // connection closed because the endpoint stalled
     bool seeks_replacement = false;         // stalled; stays at its endpoint until another can take it
     endpoint_ptr replacement; // slot reserved for the next send, its retry spent from the budget; or null
--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -240,6 +240,16 @@
 // ---- the caller's events
 
 // Passes complete events on, or holds them back while another endpoint is asked to continue after them.
+// The endpoint cannot make progress while the caller does not read.
+auto call_relay::write_to_caller(relayed_call& call, std::string_view events) -> asio::awaitable<bool>
+{
+    call.waits_for_caller = true;
+    auto const written = co_await call.out.write(events);
+    call.waits_for_caller = false;
+    call.last_progress_at = clock::now();
+    co_return written;
+}
+
 auto call_relay::holds_events(relayed_call const& call) -> bool
 {
     return call.takeover != nullptr && call.takeover->state != takeover_state::connecting;
@@ -247,7 +257,7 @@
 
 auto call_relay::pass_on(relayed_call& call, std::string_view events, bool are_held) -> asio::awaitable<bool>
 {
-    if (!are_held) co_return co_await call.out.write(events);
+    if (!are_held) co_return co_await write_to_caller(call, events);
     if (call.is_taken_over()) co_return true; // they are of the run that the stream has left
     call.held_events += events;
     auto const is_due = clock::now() >= call.takeover->hold_until || call.held_events.size() > max_held_bytes;
@@ -259,7 +269,7 @@
 {
     if (call.takeover != nullptr || call.held_events.empty()) co_return true;
     auto const events = std::exchange(call.held_events, {});
-    co_return co_await call.out.write(events);
+    co_return co_await write_to_caller(call, events);
 }
 
 } // namespace hibiscuswall
--- a/src/serving/stall_detection.cpp
+++ b/src/serving/stall_detection.cpp
@@ -12,7 +12,7 @@
 
 auto has_stalled(relayed_call const& call, stall_settings const& settings, time_point now) -> bool
 {
-    if (call.connection == nullptr || call.endpoint == nullptr) return false;
+    if (call.connection == nullptr || call.endpoint == nullptr || call.waits_for_caller) return false;
     // The current send counts as a run once it is closed as stalled, and another run must still be allowed.
     if (!call.may_run_after(call.run_count + 1)) return false;
     auto const stalled_for = now - std::max(call.sent_at, call.last_progress_at);
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include "support/direct_engine_base.hpp"
+#include "support/run_coroutine.hpp"
 
 using namespace hibiscuswall;
 
@@ -447,3 +448,32 @@
     check_complete(ask_stream(), events(1, 5));
     log_with("event=crash_suspect");
 }
+
+// Guards against a sound endpoint that counts as silent, and loses the stream, because the caller reads
+// slowly.
+TEST(moved_streams, a_stream_stays_with_its_endpoint_while_the_caller_does_not_read)
+{
+    constexpr auto last_event = 40;
+    auto const text = std::string(512U << 10U, 'x'); // all events fill the buffers of the connections
+    auto const respond = [&](auto const& request) {
+        auto response = scripted_response{stream_head(request)};
+        for (auto i = 1; i <= last_event; ++i)
+            response.pieces.push_back(chunk(events(i, i, text)));
+        response.pieces.push_back(end_of_chunks);
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    auto request = next_request("/draft/x", "POST");
+    request.headers.set("X-Hibiscuswall-Deadline-Ms", "4000");
+    auto io = boost::asio::io_context{};
+    auto client = http_client{io, nullptr};
+    auto opened = run_coroutine(io, client.open(callers, std::move(request), {}));
+    CHECK(opened.has_value());
+    std::this_thread::sleep_for(milliseconds{2'000});
+    auto const body = run_coroutine(io, opened.value()->read_all());
+    CHECK(body.has_value());
+    CHECK(body.value() == events(1, last_event, text));
+    CHECK_EQUAL(1U, one.requests().size() + two.requests().size());
+}
