--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -11,7 +11,8 @@
 
 constexpr auto max_held_bytes = std::size_t{256 * 1024};
 constexpr auto retry_delay = milliseconds{250}; // after the first takeover that was stopped, then doubled
-constexpr auto max_stopped_takeovers = 4;       // of one stream
+constexpr auto max_retry_doublings = 2;
+constexpr auto max_stopped_takeovers = 4; // of one stream; then it leaves only a silent endpoint
 
 enum class resume_answer {
     incomplete, // not known yet
@@ -81,7 +82,9 @@
 {
     auto const now = clock::now();
     auto& endpoint = *takeover.endpoint;
-    if (!endpoint.accepts_calls(now) || must_decide_again(call, now) ||
+    // The present endpoint may have sent an event without an id meanwhile.
+    auto const may_resume = call.may_run_after(call.run_count + 1) && call.deadline - now >= milliseconds{1};
+    if (!may_resume || !endpoint.accepts_calls(now) || must_decide_again(call, now) ||
         !may_be_written(endpoint, std::exchange(takeover.permit, std::nullopt), now)) {
         stop_takeover(call, "withheld");
         co_return false;
@@ -123,7 +126,9 @@
     endpoint_table::record_failure(endpoint, clock::now());
     call.tried_endpoints.insert(endpoint.record.id);
     auto const leaves = endpoint.leaving || endpoint.record.draining;
-    if (!takeover.parser.has_head() && goes_to_engine(call) && !leaves)
+    auto const& parser = takeover.parser;
+    auto const has_responded = parser.state() == response_state::complete && !parser.ends_with_connection();
+    if (!has_responded && goes_to_engine(call) && !leaves)
         start_task(io_.get_executor(), "crash_check",
                    record_crash(call.fields.call_id, {prompt_of(call), takeover.suspicion_when_asked},
                                 endpoint.record),
@@ -135,7 +140,7 @@
 {
     takeover.state = takeover_state::taken;
     call.held_events.clear();
-    if (call.connection != nullptr) call.connection->interrupt();
+    if (call.connection != nullptr) call.connection->close();
     if (call.wait_timer != nullptr) call.wait_timer->cancel();
 }
 
@@ -152,8 +157,8 @@
     if (takeover->connection != nullptr) takeover->connection->close();
     takeover->endpoint->unprocessed_prompt_tokens -= std::exchange(takeover->unprocessed_prompt_tokens, 0);
     endpoint_table::record_end(*takeover->endpoint);
-    call.next_takeover_at = now + retry_delay * (1 << call.stopped_takeovers);
-    if (++call.stopped_takeovers >= max_stopped_takeovers) call.next_takeover_at = call.deadline;
+    call.next_takeover_at = now + retry_delay * (1 << std::min(call.stopped_takeovers, max_retry_doublings));
+    call.stays_if_sound = ++call.stopped_takeovers >= max_stopped_takeovers;
     if (call.connection != nullptr) call.connection->interrupt();
     if (call.wait_timer != nullptr) call.wait_timer->cancel();
 }
@@ -234,11 +239,25 @@
 
 // ---- the caller's events
 
+// The endpoint cannot make progress while the caller does not read.
+auto call_relay::write_to_caller(relayed_call& call, std::string_view events) -> asio::awaitable<bool>
+{
+    call.waits_for_caller = true;
+    auto const written = co_await call.out.write(events);
+    call.waits_for_caller = false;
+    call.last_progress_at = clock::now();
+    co_return written;
+}
+
+auto call_relay::holds_events(relayed_call const& call) -> bool
+{
+    return call.takeover != nullptr && call.takeover->state != takeover_state::connecting;
+}
+
 // Passes complete events on, or holds them back while another endpoint is asked to continue after them.
-auto call_relay::pass_on(relayed_call& call, std::string_view events) -> asio::awaitable<bool>
+auto call_relay::pass_on(relayed_call& call, std::string_view events, bool are_held) -> asio::awaitable<bool>
 {
-    auto const is_held = call.takeover != nullptr && call.takeover->state != takeover_state::connecting;
-    if (!is_held) co_return co_await call.out.write(events);
+    if (!are_held) co_return co_await write_to_caller(call, events);
     if (call.is_taken_over()) co_return true; // they are of the run that the stream has left
     call.held_events += events;
     auto const is_due = clock::now() >= call.takeover->hold_until || call.held_events.size() > max_held_bytes;
@@ -250,7 +269,7 @@
 {
     if (call.takeover != nullptr || call.held_events.empty()) co_return true;
     auto const events = std::exchange(call.held_events, {});
-    co_return co_await call.out.write(events);
+    co_return co_await write_to_caller(call, events);
 }
 
 } // namespace hibiscuswall
--- a/src/serving/endpoint_send.cpp
+++ b/src/serving/endpoint_send.cpp
@@ -180,7 +180,7 @@
             if (call.is_taken_over()) co_return send_interrupted{"moved"};
             auto const bytes = co_await connection->receive(call.deadline);
             if (bytes.empty()) {
-                if (connection->end() == connection_end::interrupted) continue;
+                if (connection->end() == connection_end::interrupted || call.is_taken_over()) continue;
                 if (call.closed_as_moved) co_return send_failed{"moved"};
                 if (call.closed_as_stalled) co_return send_failed{"silent"};
                 if (connection->end() == connection_end::timed_out) co_return send_failed{"late"};
@@ -262,6 +262,8 @@
         if (!co_await pass_on_held_events(call)) co_return fail_stream("caller disconnected");
         auto const events_before = taken_events.empty() ? call.events.count() : events_of_earlier_responses;
         auto const complete_events = std::exchange(taken_events, {}) + call.events.feed(parser.take_body());
+        // Decided with the feed: an endpoint that is asked from now on continues after these events.
+        auto const are_held = holds_events(call);
         if (call.events.pending() > max_event_bytes) co_return fail_stream("event exceeds the size limit");
         if (!call.hold(call.events.pending())) co_return fail_stream(responses_too_large(metrics_registry_));
         if (!complete_events.empty()) {
@@ -269,14 +271,15 @@
             call.on_prompt_processed();
             record_prompt_progress(call, false);
             if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
-            if (!co_await pass_on(call, complete_events)) co_return fail_stream("caller disconnected");
+            if (!co_await pass_on(call, complete_events, are_held))
+                co_return fail_stream("caller disconnected");
         }
         if (!call.events.continues()) co_return fail_stream("events do not continue the stream");
         if (parser.state() == response_state::invalid) co_return fail_stream("response is not valid HTTP");
         if (parser.state() == response_state::complete) break;
         auto const bytes = co_await connection->receive(call.deadline);
         if (bytes.empty()) {
-            if (connection->end() == connection_end::interrupted) continue;
+            if (connection->end() == connection_end::interrupted || call.is_taken_over()) continue;
             if (call.closed_as_moved) co_return fail_stream("moved");
             if (call.closed_as_stalled) co_return fail_stream("silent");
             if (connection->end() == connection_end::timed_out) co_return fail_stream("late");
@@ -293,10 +296,13 @@
     if (has_no_events && (is_resumed || parser.ends_with_connection()))
         co_return fail_stream("stream ended without an event");
     stop_takeover(call, "its endpoint has completed the stream");
+    // A call without a connection is not moved while the rest is written to a slow caller.
+    return_connection(call, parser);
+    if (call.connection != nullptr) call.connection->close();
+    call.connection = nullptr;
     if (!co_await begin_stream(call, parser)) co_return fail_stream("caller disconnected");
     if (!co_await pass_on_held_events(call)) co_return fail_stream("caller disconnected");
     if (!parser.ends_with_connection()) record_prompt_progress(call, true);
-    return_connection(call, parser);
     co_await call.out.finish();
     co_return send_streamed{};
 }
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include "support/direct_engine_base.hpp"
+#include "support/run_coroutine.hpp"
 
 using namespace hibiscuswall;
 
@@ -66,7 +67,11 @@
     std::atomic<bool> reporting{true};
     std::atomic<int> paused_endpoint{0}; // number of the endpoint whose engine is reported as paused; 0: none
     int slots = 4;                       // of each endpoint
-    std::vector<address> engines;        // addresses of the endpoints
+    int prompt_tokens = 0;               // of each call
+    std::string prompt_segments;         // of each call
+    std::string request_body;            // of each call
+    milliseconds stream_timeout{4'000};
+    std::vector<address> engines; // addresses of the endpoints
     std::thread reports;
 
     void teardown() override
@@ -76,12 +81,12 @@
         direct_entry_base::teardown();
     }
 
-    static auto stream_route(int attempts)->json
+    auto stream_route(int attempts) const->json
     {
         auto draft = route("draft", "/draft/");
         draft.update({{"kind", "streaming"},
                       {"resumable", true},
-                      {"timeoutMs", 4000},
+                      {"timeoutMs", stream_timeout.count()},
                       {"targetGapMs", 300},
                       {"maxAttempts", attempts}});
         return draft;
@@ -122,8 +127,14 @@
     auto ask_stream()->partial_response
     {
         auto request = next_request("/draft/x", "POST");
-        request.headers.set("X-Hibiscuswall-Deadline-Ms", "4000");
-        return call_and_keep_partial(callers, std::move(request));
+        request.headers.set("X-Hibiscuswall-Deadline-Ms", std::to_string(stream_timeout.count()));
+        request.headers.set("X-Hibiscuswall-Token-Usage", std::to_string(prompt_tokens) + ",80");
+        if (!prompt_segments.empty()) {
+            request.headers.set("X-Hibiscuswall-Model", "m");
+            request.headers.set("X-Hibiscuswall-Prompt-Prefix", prompt_segments);
+        }
+        request.body = request_body;
+        return call_and_keep_partial(callers, std::move(request), stream_timeout + seconds{1});
     }
 
     // Asks for a stream and reports the engine that runs it as one that changes its weights.
@@ -370,3 +381,114 @@
     };
     check_complete(ask_stream_of(3, respond, 3), events(1, 2) + events(3, 5, "other"));
 }
+
+// Guards against a stream that stays with a dead engine until its deadline: the engine was to change its
+// weights when it fell silent, and counts as sound for good.
+TEST(moved_streams, a_stream_leaves_an_engine_that_falls_silent_before_it_changes_its_weights)
+{
+    auto const respond = [](auto const& request) {
+        return is_resumed(request) ? continued_stream(request) : pausing_stream(request, milliseconds{5'000});
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    prompt_tokens = 600; // more than another engine processes within the gap that the caller accepts
+    start_with_engines({&one, &two});
+    check_complete(ask_stream_and_pause_its_engine({&one, &two}), events(1, 2) + events(3, 5, "other"));
+}
+
+// Guards against a stream that stays with a silent endpoint until its deadline, because the others have
+// rejected it for a moment.
+TEST(moved_streams, a_stream_leaves_a_silent_endpoint_once_another_takes_it)
+{
+    auto rejections = std::atomic<int>{0};
+    auto const respond = [&](auto const& request) {
+        if (!is_resumed(request)) return pausing_stream(request, milliseconds{9'000});
+        return ++rejections <= 4 ? full(request) : continued_stream(request);
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    auto three = scripted_endpoint{respond};
+    stream_timeout = milliseconds{8'000};
+    start_with_engines({&one, &two, &three});
+    check_complete(ask_stream(), events(1, 2) + events(3, 5, "other"));
+}
+
+// Guards against a stream that another endpoint has taken, and that waits until its deadline for the one that
+// it leaves to read the request.
+TEST(moved_streams, a_stream_leaves_an_endpoint_that_does_not_read_its_request)
+{
+    auto const respond = [](auto const& request) {
+        if (is_resumed(request)) return continued_stream(request);
+        auto response = scripted_response{stream_head(request) + chunk(events(1, 2)), true};
+        response.delay = milliseconds{300};
+        return response;
+    };
+    auto const fall_silent = [](auto const& /*request*/) {
+        auto response = scripted_response{};
+        response.late_delay = milliseconds{4'000};
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    auto three = scripted_endpoint{fall_silent, "127.0.0.1", scripted_endpoint::body_reading::none};
+    request_body = std::string(12U << 20U, 'x'); // more than the send buffer of a connection takes
+    max_body_bytes = 2 * request_body.size();
+    paused_endpoint = 3;
+    start_with_engines({&one, &two, &three}, 3);
+    std::this_thread::sleep_for(2 * report_interval);
+    auto response = std::async(std::launch::async, [&] { return ask_stream(); });
+    CHECK(await_condition(seconds{2}, [&] { return one.requests().size() + two.requests().size() == 1; }));
+    paused_endpoint = one.requests().empty() ? 1 : 2; // the other one: only the third can take the stream
+    CHECK(await_condition(seconds{2}, [&] { return three.requests().size() == 1; }));
+    paused_endpoint = 0;
+    auto const sent_at = clock::now();
+    check_complete(response.get(), events(1, 2) + events(3, 5, "other"));
+    CHECK(clock::now() - sent_at < seconds{2}); // it was silent for 800 ms
+}
+
+// Guards against prompts that crash one engine after the other: an engine that ends after the head of its
+// response, as it begins with a stream that it was to take, counts as one that the prompt may have crashed.
+TEST(moved_streams, an_engine_that_ends_as_it_takes_a_stream_may_have_been_crashed_by_the_prompt)
+{
+    auto const respond = [](auto const& request) {
+        if (!is_resumed(request)) return pausing_stream(request, milliseconds{2'000});
+        auto response = scripted_response{stream_head(request)};
+        response.ends_endpoint = true;
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    prompt_segments = "dead:40,own:10";
+    start_with_engines({&one, &two});
+    check_complete(ask_stream(), events(1, 5));
+    log_with("event=crash_suspect");
+}
+
+// Guards against a sound endpoint that counts as silent, and loses the stream, because the caller reads
+// slowly.
+TEST(moved_streams, a_stream_stays_with_its_endpoint_while_the_caller_does_not_read)
+{
+    constexpr auto last_event = 40;
+    auto const text = std::string(512U << 10U, 'x'); // all events fill the buffers of the connections
+    auto const respond = [&](auto const& request) {
+        auto response = scripted_response{stream_head(request)};
+        for (auto i = 1; i <= last_event; ++i)
+            response.pieces.push_back(chunk(events(i, i, text)));
+        response.pieces.push_back(end_of_chunks);
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    auto request = next_request("/draft/x", "POST");
+    request.headers.set("X-Hibiscuswall-Deadline-Ms", "4000");
+    auto io = boost::asio::io_context{};
+    auto client = http_client{io, nullptr};
+    auto opened = run_coroutine(io, client.open(callers, std::move(request), {}));
+    CHECK(opened.has_value());
+    std::this_thread::sleep_for(milliseconds{2'000});
+    auto const body = run_coroutine(io, opened.value()->read_all());
+    CHECK(body.has_value());
+    CHECK(body.value() == events(1, last_event, text));
+    CHECK_EQUAL(1U, one.requests().size() + two.requests().size());
+}
