Let the store say whether its era is settled, so that a starting entry gives no lost key away

What callers saw: a booking could run twice. After the store was restored from a copy, a repeat with the key of a call that had run got the key, if it came through an entry that had started after the restore, until the entry that ran the call had written its claim again.

Cause: a restore was known only as an era that rises while the process looks. One that starts afterwards sees no rise and takes a key without a claim for a new one.

Change: the store holds a record of the era in which all that its latest restore lost is written again (config/settled_era). Entries write it 3 s after they heard of the era, when they have written their own claims. A copy is older than its restore, so the record in it never names the present era. A process that has known no earlier era reads the record and rejects keys without a claim, for the same 3 s as the others, only if it does not name the present one (config/restore_state; claim_memory had the rule before). A record that is written between the read of the bucket and that of the record changes nothing: the compare-and-swap then conflicts.

Price: none in era 1 or without an era. In a later one, one read by each entry that starts, in the background or by its first claim; no start waits.

Not covered: as before, what is written again more than 3 s late, and claims of an entry that has died.

--- a/include/hibiscuswall/calls/claim_memory.hpp
+++ b/include/hibiscuswall/calls/claim_memory.hpp
@@ -5,13 +5,13 @@
 //   auto memory = claim_memory{};
 //   memory.on_written(key, claim, now);
 //   memory.on_era(store.era(), now);               // with each response of the store
-//   if (memory.may_lack_claims(now)) reject();     // a key without a claim may have one that was lost
 //   for (auto const& lost : memory.take_lost(now)) ...    // once after a restore: to be written again
 //
 // Every entry writes its own claims again. Until each has noticed the restore and done so, a key without a
-// claim must not be claimed by another call.
+// claim must not be claimed by another call: restores() tells (config/restore_state.hpp).
 
 #include "hibiscuswall/calls/claim_bucket.hpp"
+#include "hibiscuswall/config/restore_state.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -36,8 +36,7 @@
     // Records the store's era; a later one than before means that it was restored.
     auto on_era(std::uint64_t era, time_point now) -> void;
 
-    // Whether the store was restored so lately that claims of other processes may not be written again.
-    [[nodiscard]] auto may_lack_claims(time_point now) const -> bool;
+    [[nodiscard]] auto restores() -> restore_state& { return restores_; }
 
     // The claims that a restored store may have lost, once after each restore; empty at other times.
     auto take_lost(time_point now) -> std::vector<kept_claim>;
@@ -52,8 +51,7 @@
 
     std::map<std::string, written_claim, std::less<>> written_; // by key
     std::deque<std::pair<time_point, std::string>> order_;      // of the writes, oldest first
-    std::uint64_t era_ = 0;                                     // 0: the store has named none yet
-    std::optional<time_point> restored_at_;
+    restore_state restores_;
     bool is_taken_ = true; // the claims that the latest restore lost
 };
 
--- a/include/hibiscuswall/calls/claim_store.hpp
+++ b/include/hibiscuswall/calls/claim_store.hpp
@@ -8,7 +8,8 @@
 //   else resolve(holder.value());                                // an earlier call holds the key
 //
 // A store that was restored from a copy has lost claims. Each process writes its own again (run_rewrites());
-// for some seconds, a key without a claim cannot be acquired.
+// for some seconds, a key without a claim cannot be acquired. A process that starts asks the store whether
+// that is over (config/settled_era.hpp).
 //
 // A compare-and-swap whose response was lost is retried after a read: the claim's call_id shows whether it
 // took effect. Operations that arrive for a bucket during a compare-and-swap are written together in the next
@@ -64,7 +65,8 @@
     auto acquire(std::string key, claim new_claim, std::string replaceable_call_id)
         -> asio::awaitable<result<claim>>;
 
-    // Writes this process's claims again after the store was restored. Runs until the io_context stops.
+    // Writes this process's claims again after the store was restored, then records that its era is settled.
+    // Runs until the io_context stops.
     auto run_rewrites() -> asio::awaitable<void>;
 
     // Records how the call ended if its claim still holds the key. A response that is too large or not UTF-8
@@ -90,13 +92,16 @@
         -> asio::awaitable<result<std::uint64_t>>;
     auto back_off(int attempt) -> asio::awaitable<void>;
     auto rewrite(kept_claim lost) -> asio::awaitable<void>;
-    auto reject_doubtful(operations const& batch, claim_bucket const& bucket, time_point now) const -> void;
+    auto reject_doubtful(operations const& batch, claim_bucket const& bucket, time_point now) -> void;
+    auto learn_era() -> asio::awaitable<void>;
+    auto record_settled() -> asio::awaitable<void>;
 
     key_value_client& store_;
     claim_settings settings_;
     metrics& metrics_registry_;
     random_source& random_;
     claim_memory memory_;
+    time_point next_record_at_;                  // of the settled era, after a failure
     std::map<std::string, bucket_queue> queues_; // By bucket key; only buckets with operations.
 };
 
--- a/src/calls/claim_memory.cpp
+++ b/src/calls/claim_memory.cpp
@@ -5,9 +5,6 @@
 
 constexpr auto kept_time = seconds{60}; // longer than the age of a copy from which a store is restored
 constexpr auto max_kept = std::size_t{4'096};
-// Until every entry has heard of the restore by the configuration that is written again, and its claims are
-// written.
-constexpr auto rewrite_time = milliseconds{3'000};
 
 } // namespace
 
@@ -30,17 +27,7 @@
 
 auto claim_memory::on_era(std::uint64_t era, time_point now) -> void
 {
-    if (era <= era_) return;
-    if (era_ > 0) {
-        restored_at_ = now;
-        is_taken_ = false;
-    }
-    era_ = era;
-}
-
-auto claim_memory::may_lack_claims(time_point now) const -> bool
-{
-    return restored_at_ && now - *restored_at_ < rewrite_time;
+    if (restores_.on_era(era, now)) is_taken_ = false;
 }
 
 auto claim_memory::take_lost(time_point now) -> std::vector<kept_claim>
--- a/src/calls/claim_store.cpp
+++ b/src/calls/claim_store.cpp
@@ -2,6 +2,7 @@
 
 #include "claim_operation.hpp"
 
+#include "hibiscuswall/config/settled_era.hpp"
 #include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/log.hpp"
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr auto era_poll_interval = milliseconds{100};
+constexpr auto record_retry_delay = milliseconds{1'000};
 
 // A bucket is JSON, which holds text only: a response that is not UTF-8 is not stored.
 auto is_utf8(std::string const& body) -> bool
@@ -185,10 +187,9 @@
 }
 
 // Decides for keys that have no claim: one may have been lost.
-auto claim_store::reject_doubtful(operations const& batch, claim_bucket const& bucket, time_point now) const
-    -> void
+auto claim_store::reject_doubtful(operations const& batch, claim_bucket const& bucket, time_point now) -> void
 {
-    if (!memory_.may_lack_claims(now)) return;
+    if (!memory_.restores().may_lack_writes(now)) return;
     for (auto const& operation : batch) {
         auto const is_new = operation->new_claim && !operation->is_rewrite;
         if (!is_new || bucket.find(operation->key) != nullptr) continue;
@@ -200,6 +201,18 @@
     }
 }
 
+// A record that cannot be read leaves the era unsettled. If the record was written after the bucket was read,
+// the bucket may lack claims; the compare-and-swap then conflicts.
+auto claim_store::learn_era() -> asio::awaitable<void>
+{
+    auto const now = clock::now();
+    memory_.on_era(store_.era(), now);
+    if (!memory_.restores().must_ask(now)) co_return;
+    auto const settled = co_await read_settled_era(store_);
+    memory_.on_era(store_.era(), clock::now());
+    if (settled) memory_.restores().on_settled(settled.value());
+}
+
 // Does one read and at most one compare-and-swap for the operations that are waiting when the read is
 // complete. They may be newer than the read: the compare-and-swap protects a new claim, and the call of a
 // stale holder is resolved like that of any other.
@@ -211,9 +224,8 @@
     auto batch = operations(queue.waiting.begin(), queue.waiting.begin() + count);
     if (contents) {
         auto bucket = std::move(contents.value().first);
-        auto const now = clock::now();
-        memory_.on_era(store_.era(), now);
-        reject_doubtful(batch, bucket, now);
+        co_await learn_era();
+        reject_doubtful(batch, bucket, clock::now());
         auto open = batch;
         std::erase_if(open, [](operation_ptr const& operation) { return operation->outcome.has_value(); });
         auto changing = apply_all(open, bucket);
@@ -300,16 +312,28 @@
 {
     while (true) {
         co_await sleep_for(era_poll_interval);
-        auto const now = clock::now();
-        memory_.on_era(store_.era(), now);
-        auto lost = memory_.take_lost(now);
-        if (lost.empty()) continue;
-        log_event(log_level::warning, "claims_rewritten", {{"claims", std::to_string(lost.size())}});
+        co_await learn_era();
+        auto lost = memory_.take_lost(clock::now());
+        if (!lost.empty())
+            log_event(log_level::warning, "claims_rewritten", {{"claims", std::to_string(lost.size())}});
         for (auto& each : lost)
             co_await rewrite(std::move(each));
+        co_await record_settled();
     }
 }
 
+auto claim_store::record_settled() -> asio::awaitable<void>
+{
+    auto const now = clock::now();
+    if (!memory_.restores().must_record(now) || now < next_record_at_) co_return;
+    next_record_at_ = now + record_retry_delay;
+    auto const era = memory_.restores().era();
+    auto const recorded = co_await record_settled_era(store_, era);
+    if (recorded) memory_.restores().on_settled(recorded.value());
+    log_event(log_level::info, "era_settled",
+              {{"era", std::to_string(era)}, {"outcome", recorded ? "recorded" : recorded.error().message}});
+}
+
 // A claim that is there stays as it is: the copy has it, or another call took the key meanwhile.
 auto claim_store::rewrite(kept_claim lost) -> asio::awaitable<void>
 {
--- a/tests/integration/claim_store_test.cpp
+++ b/tests/integration/claim_store_test.cpp
@@ -227,6 +227,9 @@
     key_value_client other_kv{other_client, {store.where}, milliseconds{500}};
     claim_store ran{kv, settings, context.metrics_registry, context.random};
     claim_store repeats{other_kv, settings, context.metrics_registry, context.random};
+    http_client started_client{io, nullptr};
+    key_value_client started_kv{started_client, {store.where}, milliseconds{500}};
+    claim_store started{started_kv, settings, context.metrics_registry, context.random}; // by start()
     key_value_table::store_copy copy;
 
     void setup() override
@@ -239,6 +242,8 @@
         asio::co_spawn(io, repeats.run_rewrites(), asio::detached);
         CHECK(held_by(acquire(ran, "first"), "first0"));
     }
+    // Starts an entry that knows of no earlier era of the store.
+    auto start()->void { asio::co_spawn(io, started.run_rewrites(), asio::detached); }
     auto acquire(claim_store & claims, std::string const& id)->std::optional<result<claim>>
     {
         auto results = acquisitions{};
@@ -276,3 +281,40 @@
     run_for(milliseconds{3'100});
     CHECK(held_by(acquire(repeats, "third"), "third0"));
 }
+
+// Guards against a booking that runs twice, since an entry that started after the restore takes a lost claim
+// for one that never was.
+TEST(restored_claims, an_entry_that_starts_after_the_restore_gives_no_lost_claim_to_another_call)
+{
+    store.restore(copy);
+    start();
+    auto const repeated = acquire(started, "second");
+    CHECK(repeated->has_error() && repeated->error().code == result_code::claim_unavailable);
+
+    kv.learn_era(2); // the entry whose call ran hears of the restore
+    run_for(milliseconds{300});
+    CHECK(held_by(acquire(started, "third"), "first0"));
+}
+
+// Guards against an entry that rejects every new key for seconds whenever it starts, long after a restore.
+TEST(restored_claims, an_entry_that_starts_when_lost_claims_are_written_again_takes_new_keys_at_once)
+{
+    store.restore(copy);
+    kv.learn_era(2);
+    run_for(milliseconds{3'400});
+    start();
+    CHECK(held_by(acquire(started, "repeated"), "first0"));
+    keys.front() = claim_key("guild", "another");
+    CHECK(held_by(acquire(started, "second"), "second0"));
+}
+
+// Guards against new keys that are rejected without end, since no entry that knew the earlier era is left.
+TEST(restored_claims, an_entry_that_starts_alone_after_the_restore_takes_new_keys_after_some_seconds)
+{
+    store.restore(copy);
+    start();
+    keys.front() = claim_key("guild", "another");
+    CHECK(acquire(started, "second")->has_error());
+    run_for(milliseconds{3'100});
+    CHECK(held_by(acquire(started, "third"), "third0"));
+}
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -1,5 +1,7 @@
 // Tests that what this process knows survives a store that comes back from an older copy: revisions are given
 // out again, writes and leases are lost, and what operators and endpoints wrote is written again.
+#include "hibiscuswall/config/restore_state.hpp"
+#include "hibiscuswall/config/settled_era.hpp"
 #include "hibiscuswall/fleet/declaration_watch.hpp"
 #include "hibiscuswall/fleet/declared_state.hpp"
 #include "hibiscuswall/fleet/prefix_watcher.hpp"
@@ -202,3 +204,99 @@
     run_for(milliseconds{300});
     CHECK_EQUAL(1U, declared.items("op/version/").size());
 }
+
+// ---- when all that the store lost is written again
+
+TEST_GROUP(restore_state)
+{
+    static constexpr auto rewrite_time = milliseconds{3'000};
+    time_point begin = time_point{} + seconds{100};
+    restore_state state;
+};
+
+// Guards against work that is rejected in calm.
+TEST(restore_state, a_store_that_was_never_restored_lacks_nothing)
+{
+    state.on_era(1, begin);
+    CHECK(!state.must_ask(begin));
+    CHECK(!state.may_lack_writes(begin));
+    CHECK(!state.must_record(begin + rewrite_time));
+}
+
+TEST(restore_state, a_process_that_sees_the_era_rise_waits_whatever_is_recorded)
+{
+    state.on_era(1, begin);
+    CHECK(state.on_era(2, begin));
+    CHECK(state.knows_before());
+    CHECK(!state.must_ask(begin));
+    state.on_settled(2); // by another process, which noticed the restore earlier
+    CHECK(state.may_lack_writes(begin + rewrite_time - milliseconds{1}));
+    CHECK(!state.may_lack_writes(begin + rewrite_time));
+}
+
+// Guards against a process that takes an era for settled because it has known no other.
+TEST(restore_state, a_process_that_starts_waits_unless_the_store_names_the_era_as_settled)
+{
+    CHECK(!state.on_era(4, begin));
+    CHECK(state.must_ask(begin));
+    CHECK(state.may_lack_writes(begin)); // also while the record cannot be read
+    CHECK(!state.knows_before());
+
+    state.on_settled(3);
+    CHECK(!state.must_ask(begin));
+    CHECK(state.may_lack_writes(begin));
+    CHECK(!state.must_record(begin));
+    CHECK(!state.may_lack_writes(begin + rewrite_time));
+    CHECK(state.must_record(begin + rewrite_time));
+
+    state.on_settled(4);
+    CHECK(!state.may_lack_writes(begin));
+    CHECK(!state.must_record(begin + rewrite_time));
+}
+
+// Guards against a second restore that makes a process forget that it started after the first.
+TEST(restore_state, a_process_that_starts_between_two_restores_does_not_know_what_was_lost)
+{
+    state.on_era(2, begin);
+    state.on_settled(1);
+    CHECK(state.on_era(3, begin + seconds{1}));
+    CHECK(!state.knows_before());
+    CHECK(state.may_lack_writes(begin + seconds{1}));
+
+    auto other = restore_state{};
+    other.on_era(1, begin);
+    other.on_era(2, begin);
+    CHECK(other.on_era(3, begin + seconds{1}));
+    CHECK(other.knows_before());
+}
+
+TEST_GROUP_BASE(settled_era, restored_store_base){};
+
+// Guards against a record that counts for an era in which it was not written.
+TEST(settled_era, a_record_of_before_the_restore_names_an_earlier_era)
+{
+    CHECK_EQUAL(0U, run_coroutine(io, read_settled_era(kv)).value());
+    CHECK_EQUAL(1U, run_coroutine(io, record_settled_era(kv, 1)).value());
+    auto copy = store.copy();
+    store.restore(std::move(copy));
+    CHECK_EQUAL(1U, run_coroutine(io, read_settled_era(kv)).value());
+    CHECK_EQUAL(2U, run_coroutine(io, record_settled_era(kv, 2)).value());
+    CHECK_EQUAL(2U, run_coroutine(io, read_settled_era(kv)).value());
+}
+
+// Guards against a slow process that takes back the record of a later era.
+TEST(settled_era, a_later_record_stays)
+{
+    CHECK_EQUAL(3U, run_coroutine(io, record_settled_era(kv, 3)).value());
+    CHECK_EQUAL(3U, run_coroutine(io, record_settled_era(kv, 2)).value());
+    CHECK_EQUAL(3U, run_coroutine(io, read_settled_era(kv)).value());
+}
+
+// Guards against an odd value of another writer that keeps every later record out.
+TEST(settled_era, a_record_that_is_no_number_is_reported_and_replaced)
+{
+    put("restore/settled_era", "2x");
+    CHECK(run_coroutine(io, read_settled_era(kv)).error().code == result_code::response_malformed);
+    CHECK_EQUAL(2U, run_coroutine(io, record_settled_era(kv, 2)).value());
+    CHECK_EQUAL(2U, run_coroutine(io, read_settled_era(kv)).value());
+}
