Write no change on top of a restored copy that a starting entry takes for the newest

What callers saw: a change that an operator's entry had confirmed was out of force for good. After the store was restored from a copy, a change through an entry that had started after the restore was applied on top of the older configuration (or, if the copy had none, as the first one), before the watchers had written the lost one again.

Cause: config_writer restores what the store lost if it knows a newer document. An entry that starts and reaches no peer knows only the copy. Its change has an id that the watchers do not know, so that they took the result for newer than theirs and did not write theirs again.

Evidence: restored_config.a_change_through_an_entry_that_starts_after_the_ restore_drops_nothing and a_first_change_after_the_restore_waits_for_the_ configuration_that_was_lost failed before: the change was written at once. Without the check of its rejection (a trial) they failed further on: a host that had been taken out was in service again everywhere, and the root was the new change's.

Change: before a change is applied, a process that had no document before the restore asks the store whether its era is settled (the record of the commit before). If not, the change fails with store_unavailable, nothing written, for at most 3 s from when the process first had a document. The watchers have that long to write the lost configuration again. If they do so between the read of the base and that of the record, the compare-and-swap conflicts. A process that had a document in an earlier era restores it before the change, as before, and rejects nothing.

Price: none in era 1 or without an era; in a later one, one read more for a change within 3 s of the start of its entry.

--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -5,6 +5,7 @@
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/background.hpp"
 #include "hibiscuswall/observe/log.hpp"
+#include "platform/store_revision.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -56,6 +57,7 @@
     if (state_.document() && is_older_copy(document, *state_.document())) return false;
     if (!state_.adopt(std::move(document), confirmed_at)) return false;
     context_.self.config_revision = revision;
+    writer_.note_era(store_revision::from_ordered(revision).era, clock::now());
     log_event(
         log_level::info, "config_applied",
         {{"revision", std::to_string(revision)}, {"write_id", write_id}, {"source", std::string{source}}});
@@ -234,6 +236,7 @@
             start_task(context_.io.get_executor(), "confirm_after_pause", confirm_after_pause(),
                        &context_.metrics_registry);
         }
+        if (state_.document()) writer_.note_era(store_.era(), now);
         auto const age = std::chrono::duration<double>(state_.confirmed_age(now)).count();
         if (state_.document()) context_.metrics_registry.set("config_confirmed_age_seconds", {}, age);
         co_await sleep_for(settings_.tick);
--- a/src/config/config_writer.cpp
+++ b/src/config/config_writer.cpp
@@ -1,5 +1,6 @@
 #include "hibiscuswall/config/config_writer.hpp"
 
+#include "hibiscuswall/config/settled_era.hpp"
 #include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 
@@ -85,6 +86,8 @@
         auto already_written = base; // this is a retry of a write that took effect
         co_return already_written;
     }
+    auto const checked = co_await check_era();
+    if (!checked) co_return checked.error();
     auto planned = apply_change(base, change);
     if (!planned) co_return planned.error();
     auto const next = std::move(planned).value();
@@ -98,6 +101,23 @@
     co_return co_await swap_root(next, base.revision);
 }
 
+// If the record was written after the base was read, the base may lack writes; the compare-and-swap then
+// conflicts.
+auto config_writer::check_era() -> asio::awaitable<result<void>>
+{
+    note_era(store_.era(), clock::now());
+    if (restores_.must_ask(clock::now())) {
+        auto const settled = co_await read_settled_era(store_);
+        note_era(store_.era(), clock::now());
+        if (settled) restores_.on_settled(settled.value());
+    }
+    if (restores_.knows_before() || !restores_.may_lack_writes(clock::now())) co_return success();
+    co_return fail(
+        result_code::store_unavailable,
+        "the store was restored from a copy; until lost writes are written again, the change could "
+        "replace one of them; nothing was written");
+}
+
 auto config_writer::restore(config_document document, config_document copy)
     -> asio::awaitable<result<config_document>>
 {
--- a/tests/unit/config_service_test.cpp
+++ b/tests/unit/config_service_test.cpp
@@ -1,6 +1,7 @@
 // Tests writes and the distribution of the configuration with a store that loses responses, becomes
 // unavailable and receives concurrent writes of operators.
 #include "hibiscuswall/config/push_tree.hpp"
+#include "hibiscuswall/config/settled_era.hpp"
 #include "hibiscuswall/core/sha256.hpp"
 #include "hibiscuswall/core/sleep.hpp"
 #include "platform/store_revision.hpp"
@@ -502,6 +503,58 @@
             CHECK(!one->config.current()->in_service(host, "gor-a"));
 }
 
+// Guards against a confirmed change that is lost for good: an entry that starts after the restore and reaches
+// no peer takes the older copy for the newest configuration, and writes a change on top of it.
+TEST(restored_config, a_change_through_an_entry_that_starts_after_the_restore_drops_nothing)
+{
+    takes_out("h1");
+    auto copy = store.copy();
+    takes_out("h2");
+    store.silent_watches = true; // the watchers notice the restore a little later
+    store.restore(std::move(copy));
+    auto& started = process("started");
+    started.config.start();
+    CHECK(run_until([&] { return started.config.current() != nullptr; }, seconds{2}));
+    CHECK(started.config.current()->in_service("h2", "gor-a"));
+    auto written = apply(started, host_change("h3", "out", "out-h3"));
+    CHECK(written.has_error() && written.error().code == result_code::store_unavailable);
+
+    for (auto const end = clock::now() + seconds{5}; !written && clock::now() < end;) {
+        run_until([] { return false; }, milliseconds{100});
+        written = apply(started, host_change("h3", "out", "out-h3"));
+    }
+    CHECK(run_until([&] { return all_in_force(written.value()); }, seconds{4}));
+    for (auto& one : processes)
+        for (auto const* host : {"h1", "h2", "h3"})
+            CHECK(!one->config.current()->in_service(host, "gor-a"));
+}
+
+// Guards against an entry that rejects changes for seconds whenever it starts, long after a restore.
+TEST(restored_config, a_change_through_an_entry_that_starts_when_the_era_is_settled_is_written_at_once)
+{
+    takes_out("h1");
+    auto copy = store.copy();
+    takes_out("h2");
+    CHECK(restore_and_wait(std::move(copy)));
+    CHECK(run_coroutine(io, record_settled_era(entry->kv, 2)).has_value());
+    auto& started = process("started");
+    CHECK(apply(started, host_change("h3", "out", "out-h3")).has_value());
+}
+
+// Guards against a configuration that replaces the lost one: the copy has none, as a store that is new.
+TEST(restored_config, a_first_change_after_the_restore_waits_for_the_configuration_that_was_lost)
+{
+    auto copy = key_value_table::store_copy{};
+    takes_out("h1");
+    store.silent_watches = true;
+    store.restore(std::move(copy));
+    auto& started = process("started");
+    auto const written = apply(started, host_change("h3", "out", "out-h3"));
+    CHECK(written.has_error() && written.error().code == result_code::store_unavailable);
+    CHECK(run_until([&] { return store.entries.contains("config/root"); }, seconds{4}));
+    CHECK(parse_root(store.entries["config/root"].value, 1).value().write_id == "out-h1");
+}
+
 // ---- status
 
 TEST(config_distribution, status_lists_unconfirmed_failure_domains_and_hosts)
