Send no call a second time by the grants of a divider that a sender returns to

Endpoints saw, in the simulation: up to several times the limit in 4 s after an entry had followed another divider for 0.3 to 1 s and returned to the first, which had divided all the while. No run of real processes has shown this.

Cause: grants are cumulative, and a sender began to count anew whenever a grant came from another run of a divider. A divider that has not heard that the sender was away still names all calls that it ever granted to it; the sender took those for unused. The divider recalls them only once a report that names the other run has reached it.

Now a sender keeps, for the last eight runs, how many of a run's calls it has sent, and goes on from there when a grant of that run comes again.

Tests: rate_division.a_sender_that_returns_to_a_divider_sends_nothing_again.

The fleet of the tests now has a divider at each sender that takes itself for one, as entries do.

--- a/include/hibiscuswall/serving/rate_share.hpp
+++ b/include/hibiscuswall/serving/rate_share.hpp
@@ -92,6 +92,14 @@
         std::int64_t end = 0;
     };
 
+    // How far this sender went in the grants of a divider that it may return to.
+    struct grant_position {
+        std::uint64_t divider_run = 0;
+        std::int64_t next = 0;
+        std::int64_t used = 0;
+    };
+
+    auto follow_run(std::uint64_t divider_run) -> void;
     auto set_own_rate(double calls_per_second, time_point now) -> void;
     [[nodiscard]] auto demand_per_second(time_point now) const -> double;
     [[nodiscard]] auto makes_own_grants(time_point now) const -> bool;
@@ -104,8 +112,9 @@
     time_point own_grants_from_;   // without a further grant
     time_point grant_valid_until_; // of the last grant
     rate_grant grant_;
-    std::int64_t next_ = 0; // first granted call that was neither sent nor recalled
-    std::int64_t used_ = 0; // granted calls that were sent
+    std::int64_t next_ = 0;                        // first granted call that was neither sent nor recalled
+    std::int64_t used_ = 0;                        // granted calls that were sent
+    std::deque<grant_position> earlier_positions_; // in grants of other dividers, latest last
 
     // ---- grants that this sender makes for itself
     double own_rate_ = 0;       // calls per second
--- a/src/serving/rate_share.cpp
+++ b/src/serving/rate_share.cpp
@@ -20,6 +20,9 @@
 // After so many mean intervals without a call, the demand counts as ended.
 constexpr auto silent_intervals = 3.0;
 constexpr auto min_interval_s = 0.001; // of calls that come at the same time
+// A divider counts a sender's grants as sent once it has not heard from it for 2 s; so many others do not
+// grant calls to one sender in that time.
+constexpr auto max_earlier_positions = std::size_t{8};
 constexpr auto min_first_span_s = 1.0; // of the first calls, which may have come together by chance
 
 } // namespace
@@ -56,7 +59,7 @@
 {
     if (!limit_ || reported_at < limited_since_ || made_at + grant_lifetime <= now) return;
     if (grant.divider_run != grant_.divider_run)
-        next_ = used_ = reported_used_ = 0;
+        follow_run(grant.divider_run);
     else if (grant.granted < grant_.granted || grant.recalled < grant_.recalled)
         return; // overtaken by a later one
     grant_ = grant;
@@ -66,6 +69,23 @@
     next_ = std::max(next_, grant.recalled);
 }
 
+// Grants are cumulative: a divider that this sender returns to, before it has heard of the change, still
+// grants the calls that were sent already.
+auto rate_share::follow_run(std::uint64_t divider_run) -> void
+{
+    if (grant_.divider_run != 0) earlier_positions_.push_back({grant_.divider_run, next_, used_});
+    auto const found = std::find_if(earlier_positions_.begin(), earlier_positions_.end(),
+                                    [&](auto const& each) { return each.divider_run == divider_run; });
+    next_ = used_ = 0;
+    if (found != earlier_positions_.end()) {
+        next_ = found->next;
+        used_ = found->used;
+        earlier_positions_.erase(found);
+    }
+    reported_used_ = used_;
+    if (earlier_positions_.size() > max_earlier_positions) earlier_positions_.pop_front();
+}
+
 auto rate_share::makes_own_grants(time_point now) const -> bool { return now >= own_grants_from_; }
 
 // Made also while a divider grants calls; what is made then expires.
--- a/tests/support/rate_fleet.hpp
+++ b/tests/support/rate_fleet.hpp
@@ -15,6 +15,8 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace hibiscuswall {
@@ -59,14 +61,29 @@
         at(sender) = {};
         at(sender).name = std::move(name);
         at(sender).is_excused = true;
-        if (sender == 0) start_divider();
+        if (sender == first_divider) start_divider();
     }
 
     // Another process divides from now on, without what the one before knew. All processes go on.
     auto move_division() -> void { start_divider(); }
 
-    // Only the process that divides stands still or is gone; the others go on.
-    static constexpr auto divider = 0;
+    // Each sender takes `sender` for the one that divides from some time within `time` on, as after a change
+    // of the list of senders that reaches them at different times. One that no longer takes itself for it
+    // forgets what it granted.
+    auto hand_over(int sender, milliseconds time) -> void
+    {
+        for (auto& each : senders_) {
+            auto const delay = random_.fraction() * static_cast<double>(time.count());
+            queue_.push_back({now_ + milliseconds{1 + static_cast<long long>(delay)},
+                              [&each, sender] { each.divided_by = sender; }});
+        }
+    }
+
+    // Only this sender takes `divider` for the one that divides from now on.
+    auto believe(int sender, int divider) -> void { at(sender).divided_by = divider; }
+
+    // Divides until another one does.
+    static constexpr auto first_divider = 0;
 
     auto run(milliseconds time) -> void
     {
@@ -115,6 +132,10 @@
     static constexpr auto notice_interval = milliseconds{300};
     static constexpr auto divide_interval = milliseconds{100};
 
+    struct peer_state { // of a sender, at the one that divides
+        time_point next_notice;
+        time_point reported_at; // when its latest report that arrived was sent
+    };
     struct sender_state {
         std::string name;
         rate_share share;
@@ -125,8 +146,12 @@
         time_point learned_at;
         time_point frozen_until;
         time_point next_report;
-        time_point next_notice; // of the divider to this sender
-        time_point reported_at; // when the latest report that reached the divider was sent
+        int divided_by = first_divider; // as far as it knows
+
+        // ---- while it takes itself for the one that divides
+        std::optional<rate_divider> divider;
+        time_point next_divide;
+        std::map<std::string, peer_state> peers; // by name
     };
     struct pending {
         time_point at;
@@ -139,7 +164,7 @@
         return std::chrono::duration_cast<milliseconds>(when.time_since_epoch()) - milliseconds{1'000'000};
     }
 
-    auto start_divider() -> void { divider_ = rate_divider{++divider_run_}; }
+    auto start_divider() -> void { at(first_divider).divider.emplace(++divider_run_); }
 
     auto is_active(sender_state const& sender) const -> bool
     {
@@ -177,7 +202,24 @@
             each.action();
         for (auto i = std::size_t{0}; i < senders_.size(); ++i)
             if (is_active(senders_[i])) advance_sender(senders_[i], demand_[i]);
-        if (is_active(senders_[0]) && senders_[0].knows_limit && now_ >= next_divide_) divide();
+        for (auto& sender : senders_)
+            if (is_active(sender)) advance_divider(sender);
+    }
+
+    [[nodiscard]] auto takes_itself_for_divider(sender_state const& sender) -> bool
+    {
+        return &at(sender.divided_by) == &sender;
+    }
+
+    auto advance_divider(sender_state& sender) -> void
+    {
+        if (!takes_itself_for_divider(sender)) return sender.divider.reset();
+        if (!sender.knows_limit || now_ < sender.next_divide) return;
+        if (!sender.divider) {
+            sender.divider.emplace(++divider_run_);
+            sender.peers.clear();
+        }
+        divide(sender);
     }
 
     auto advance_sender(sender_state& sender, double demand) -> void
@@ -224,32 +266,37 @@
         sender.next_report = now_ + report_interval;
         auto const message = sender.share.report(sender.name, now_);
         auto const sent_at = now_;
-        auto const arrive = [this, &sender, message, sent_at] {
-            if (!is_active(senders_[0])) return;
-            learn(senders_[0]);
-            divider_.on_report(message, now_);
-            sender.reported_at = std::max(sender.reported_at, sent_at);
+        auto& to = at(sender.divided_by);
+        auto const arrive = [this, &to, message, sent_at] {
+            if (!is_active(to)) return;
+            learn(to);
+            if (!to.divider) return;
+            to.divider->on_report(message, now_);
+            auto& reported_at = to.peers[message.sender].reported_at;
+            reported_at = std::max(reported_at, sent_at);
         };
-        if (&sender == &senders_[0]) return arrive();
+        if (&sender == &to) return arrive();
         send_datagram(arrive);
     }
 
-    auto divide() -> void
+    auto divide(sender_state& by) -> void
     {
-        next_divide_ = now_ + divide_interval;
-        divider_.divide(settings_.limit, settings_.senders, now_);
+        by.next_divide = now_ + divide_interval;
+        by.divider->divide(settings_.limit, settings_.senders, now_);
         for (auto& sender : senders_) {
-            if (now_ < sender.next_notice && !divider_.has_changed(sender.name)) continue;
-            sender.next_notice = now_ + notice_interval;
-            auto const grant = divider_.grant_for(sender.name, now_);
-            auto const reported_at = sender.reported_at;
+            auto& peer = by.peers[sender.name];
+            if (now_ < peer.next_notice && !by.divider->has_changed(sender.name)) continue;
+            peer.next_notice = now_ + notice_interval;
+            auto const grant = by.divider->grant_for(sender.name, now_);
+            auto const reported_at = peer.reported_at;
             auto const made_at = now_ - settings_.max_delay; // the time of the report's way is unknown
-            auto const take = [this, &sender, grant, reported_at, made_at] {
+            auto const take = [this, &by, &sender, grant, reported_at, made_at] {
                 if (!is_active(sender)) return;
                 learn(sender);
-                if (grant) sender.share.on_grant(*grant, reported_at, made_at, now_);
+                if (grant && &at(sender.divided_by) == &by)
+                    sender.share.on_grant(*grant, reported_at, made_at, now_);
             };
-            if (&sender == &senders_[0])
+            if (&sender == &by)
                 take();
             else
                 send_datagram(take);
@@ -260,10 +307,8 @@
     random_source random_;
     std::vector<sender_state> senders_;
     std::vector<double> demand_;
-    rate_divider divider_{0};
     std::uint64_t divider_run_ = 0;
     time_point now_{milliseconds{1'000'000}};
-    time_point next_divide_;
     std::vector<pending> queue_;
     std::vector<time_point> arrivals_;
     int refused_ = 0;
--- a/tests/unit/rate_division_test.cpp
+++ b/tests/unit/rate_division_test.cpp
@@ -139,7 +139,7 @@
                 fleet.set_demand(demand_of(demand_shape::few, senders, total_demand(limit), 0));
                 for (auto round = 0; round < 12; ++round) {
                     auto const victim =
-                        round % 3 == 2 ? rate_fleet::divider
+                        round % 3 == 2 ? rate_fleet::first_divider
                                        : static_cast<int>(random.below(static_cast<std::size_t>(senders)));
                     auto const time = milliseconds{200 + static_cast<long long>(random.below(6'000))};
                     if (random.fraction() < 0.5) {
@@ -181,6 +181,55 @@
             }
 }
 
+// Guards against calls that are sent a second time because a sender follows another divider for a moment, as
+// when a sender has joined and left again before the others heard of it: a divider grants in cumulative
+// counts, and the one that the sender returns to has not heard that it was away.
+TEST(rate_division, a_sender_that_returns_to_a_divider_sends_nothing_again)
+{
+    constexpr auto other_divider = 1;
+    for (auto const limit : limits)
+        for (auto const senders : {2, 3, 6, 24})
+            for (auto seed = std::uint64_t{1}; seed <= 8 * seeds; ++seed) {
+                auto const settings = rate_fleet_settings{limit, senders, 0.05};
+                auto fleet = rate_fleet{settings, seed};
+                auto random = random_source{seed};
+                auto const last = senders - 1;
+                fleet.set_demand(demand_of(demand_shape::one, senders, total_demand(limit), 0));
+                fleet.run(settings.named_at + milliseconds{static_cast<long long>(random.below(20'000))});
+                for (auto const sender : {other_divider, last})
+                    fleet.believe(sender, other_divider);
+                fleet.run(milliseconds{300 + static_cast<long long>(random.below(700))});
+                for (auto const sender : {other_divider, last})
+                    fleet.believe(sender, rate_fleet::first_divider);
+                fleet.run(milliseconds{8'000});
+                check_bound(fleet, text_of(settings, demand_shape::one) + ", with a return", seed);
+            }
+}
+
+// Guards against a sum beyond the limit of calls that several senders grant beside each other while all learn
+// at different times which of them divides.
+TEST(rate_division, senders_that_learn_at_different_times_who_divides_keep_to_the_limit)
+{
+    constexpr auto longest_way = milliseconds{1'500}; // of the news
+    for (auto const limit : limits)
+        for (auto const senders : {2, 3, 6, 24})
+            for (auto seed = std::uint64_t{1}; seed <= 8 * seeds; ++seed) {
+                auto const settings = rate_fleet_settings{limit, senders, 0.05};
+                auto fleet = rate_fleet{settings, seed};
+                auto random = random_source{seed};
+                auto const demand = limit * (1.2 + 3 * random.fraction());
+                fleet.set_demand(demand_of(demand_shape::few, senders, demand, 0));
+                fleet.run(settings.named_at);
+                for (auto moves = random.below(6) + 1; moves > 0; --moves) {
+                    fleet.run(milliseconds{100 + static_cast<long long>(random.below(1'800))});
+                    fleet.hand_over(static_cast<int>(random.below(static_cast<std::size_t>(senders))),
+                                    longest_way);
+                }
+                fleet.run(milliseconds{8'000});
+                check_bound(fleet, text_of(settings, demand_shape::few) + ", with hand-overs", seed);
+            }
+}
+
 // Guards against an endpoint that named 0 once and is never called again, so that it cannot take it back.
 TEST(rate_division, an_endpoint_that_takes_no_calls_is_asked_now_and_then)
 {
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -192,6 +192,22 @@
     CHECK_EQUAL(1, share.available(now));
 }
 
+// Guards against calls that are sent again by a grant of a divider that the sender left and returned to.
+TEST(rate_limit_share, calls_that_were_sent_stay_sent_while_another_divider_grants)
+{
+    share.set_limit(2, 3, 0, now);
+    grant(3, 1);
+    CHECK(share.take(now) && share.take(now));
+    grant(2, 0, 8);
+    CHECK(share.take(now).has_value());
+    grant(4, 1);
+    LONGS_EQUAL(1, share.available(now));
+    auto const returned = share.report("entry-1", now);
+    CHECK(returned.ended == 3 && returned.used == 2);
+    grant(2, 0, 8);
+    LONGS_EQUAL(1, share.available(now));
+}
+
 // Guards against an endpoint that nobody may call because nobody divides its limit.
 TEST(rate_limit_share, without_a_divider_the_sender_grants_itself_its_part)
 {
