Let a divider pass only its part of the calls from before the limit was known

Cause: each divider, when it begins, let 3 N + 3 calls that were sent before pass uncharged, whatever part of the senders it hears from, while it grants only the rate of that part. Two dividers let twice as many pass.

Now a divider lets pass the fraction of them that it has of the rate: senders heard over senders known. What was charged while few had reported is given back as more do, within the second in which reports are gathered; the limit of the debt leaves room for that, so that nothing is given back that was not charged.

Test: rate_division.halves_that_follow_different_dividers_let_only_their_part_pass.

--- a/include/hibiscuswall/serving/rate_divider.hpp
+++ b/include/hibiscuswall/serving/rate_divider.hpp
@@ -78,7 +78,8 @@
     double rate_ = 0;          // calls per second that are granted at present
     double level_ = 0;         // calls that may be granted; negative: sent before they were granted
     double earlier_sends_ = 0; // calls that this divider did not grant, not charged yet
-    double uncharged_ = 0;     // calls that were sent before the first grant and need not be charged
+    double gathered_ = 0;      // earlier sends that were reported within gather_time
+    double uncharged_ = 0;     // of these, calls that were not charged
 };
 
 } // namespace hibiscuswall
--- a/src/serving/rate_divider.cpp
+++ b/src/serving/rate_divider.cpp
@@ -58,16 +58,24 @@
     sender.used = 0;
 }
 
-// What was sent before the limit was known is charged as far as the window has no room for it. The longest
-// debt is over when all of it has left the window.
+// What was sent before the limit was known is charged as far as the window has no room for it. Of that room
+// this divider has the part of the senders that it hears from; others may follow another divider, which has
+// the rest. Calls that were charged while few had reported are given back once more have. The longest debt is
+// over when all of it has left the window.
 auto rate_divider::charge_earlier_sends(double rate, time_point now) -> void
 {
-    if (now - *begun_at_ > gather_time) uncharged_ = 0;
-    auto const covered = std::min(uncharged_, earlier_sends_);
-    uncharged_ -= covered;
-    level_ -= earlier_sends_ - covered;
+    level_ -= earlier_sends_;
+    auto to_give_back = 0.0;
+    if (now - *begun_at_ <= gather_time) {
+        gathered_ += earlier_sends_;
+        auto const part = rate_ / rate;
+        auto const uncharged = std::max(uncharged_, std::min(gathered_, uncharged_calls(rate) * part));
+        level_ += uncharged - uncharged_;
+        uncharged_ = uncharged;
+        to_give_back = std::max(0.0, std::min(gathered_, uncharged_calls(rate)) - uncharged_);
+    }
     earlier_sends_ = 0;
-    level_ = std::max(level_, -in_seconds(rate_window) * rate);
+    level_ = std::max(level_, -in_seconds(rate_window) * rate - to_give_back);
 }
 
 auto rate_divider::heard_senders(time_point now) -> sender_list
@@ -100,10 +108,7 @@
 auto rate_divider::divide(double limit, int senders, time_point now) -> void
 {
     auto const rate = std::max(limit, min_calls_per_second);
-    if (!begun_at_) {
-        begun_at_ = divided_at_ = now;
-        uncharged_ = uncharged_calls(rate);
-    }
+    if (!begun_at_) begun_at_ = divided_at_ = now;
     std::erase_if(senders_, [&](auto const& each) { return now - each.second.heard_at > removal_timeout; });
     auto const list = heard_senders(now);
     auto const known = std::max({1, senders, static_cast<int>(list.size())});
--- a/tests/unit/rate_division_test.cpp
+++ b/tests/unit/rate_division_test.cpp
@@ -230,6 +230,27 @@
             }
 }
 
+// Guards against calls from before the limit was known that each of two dividers lets pass, as when half of
+// the senders do not know yet that another one has joined and divides.
+TEST(rate_division, halves_that_follow_different_dividers_let_only_their_part_pass)
+{
+    for (auto const limit : limits)
+        for (auto const senders : {2, 6, 24})
+            for (auto seed = std::uint64_t{1}; seed <= 8 * seeds; ++seed) {
+                auto const settings = rate_fleet_settings{limit, senders, 0.05};
+                auto fleet = rate_fleet{settings, seed};
+                auto random = random_source{seed};
+                auto const demand = limit * (2 + 2 * random.fraction());
+                fleet.set_demand(demand_of(demand_shape::even, senders, demand, 0));
+                auto const told_late = milliseconds{static_cast<long long>(random.below(2'000))};
+                fleet.run(settings.named_at - milliseconds{1'000} + told_late);
+                for (auto sender = 1; sender < senders; sender += 2)
+                    fleet.believe(sender, 1);
+                fleet.run(milliseconds{8'000});
+                check_bound(fleet, text_of(settings, demand_shape::even) + ", in halves", seed);
+            }
+}
+
 // Guards against an endpoint that named 0 once and is never called again, so that it cannot take it back.
 TEST(rate_division, an_endpoint_that_takes_no_calls_is_asked_now_and_then)
 {
