--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto max_held_bytes = std::size_t{256 * 1024};
+constexpr auto max_resume_bytes = std::size_t{256 * 1024}; // of a response before its first event
 constexpr auto retry_delay = milliseconds{250}; // after the first takeover that was stopped, then doubled
 constexpr auto max_retry_doublings = 2;
 constexpr auto max_stopped_takeovers = 4; // of one stream; then it leaves only a silent endpoint
@@ -25,6 +26,7 @@
 {
     auto& parser = takeover.parser;
     if (parser.state() == response_state::invalid) return resume_answer::failed;
+    if (parser.body_size() + takeover.events.pending() > max_resume_bytes) return resume_answer::failed;
     if (has_events(call, parser) && names_call(call, parser)) {
         if (!platform::decode_response(parser.status(), parser.headers()).signed_response)
             return resume_answer::failed;
