Tell a draining engine to all its senders through its agent

The engine says so itself (Server-Leaving in a report): the agent already passes that on. A call waits on its way behind the same queue.

Cause: the departure that one sender has in milliseconds does not reach the others.

Fix: an entry's subscription names the run of the agent's engine that its record says is draining, at once when the record arrives and again with each renewal. The agent reports that the engine leaves if a subscriber names the run that it reports on. Both are datagrams that are sent anyway (plus one a draining engine and sender); calls to the store stay as they were. A run is named by its start time, so that the next run at the same address is not meant; without one nothing is told. A record that is gone without having been draining is not told: it also goes while an endpoint is only silent, and what a load report says of leaving holds for the rest of a run.

--- a/include/hibiscuswall/fleet/load_report_receiver.hpp
+++ b/include/hibiscuswall/fleet/load_report_receiver.hpp
@@ -2,7 +2,8 @@
 // The entry's end of the datagrams between daemons, on its peer address: subscribes to the agents of its
 // endpoints and receives their load reports, and exchanges quarantine records and messages about rate limits
 // with other entries. Agents have no configured list of entries: an entry renews its subscription at every
-// agent every 250 ms.
+// agent every 250 ms. It also tells the agent that its engine's record says that it drains; the agent tells
+// the engine's other senders, who may get the record later.
 //
 //   auto receiver = load_report_receiver{io, self, endpoints, declared};
 //   receiver.start();
@@ -70,6 +71,10 @@
     // is dropped.
     auto send(std::string const& bytes, address const& to) -> void;
 
+    // Tells the endpoint's agent at once that the record says that the endpoint drains. Later subscriptions
+    // repeat it.
+    auto announce_draining(std::string const& endpoint_id) -> void;
+
     // Newest change of an endpoint's record that any entry is known to have.
     [[nodiscard]] auto peer_records_revision() const -> std::uint64_t { return peer_records_revision_; }
 
@@ -86,7 +91,10 @@
 private:
     auto on_datagram(datagram const& message, datagram_endpoint const& from) -> void;
     auto subscribe() -> asio::awaitable<void>;
+    [[nodiscard]] auto current_subscription(time_point now) const -> subscription;
+    auto send_subscription(subscription const& message, std::string const& agent_ip) -> void;
     auto on_report_received(load_report const& report, address const& agent) -> void;
+    auto log_departure(load_report const& report) const -> void;
     [[nodiscard]] auto is_of_same_region(load_report const& report) const -> bool;
     [[nodiscard]] auto has_agent(tracked_endpoint const& endpoint) const -> bool;
 
--- a/include/hibiscuswall/fleet/load_report_sender.hpp
+++ b/include/hibiscuswall/fleet/load_report_sender.hpp
@@ -61,6 +61,7 @@
     [[nodiscard]] auto ranked_subscribers(time_point now) const -> subscriber_list;
     auto set_most_current_peer(load_report& report, time_point now) const -> void;
     auto set_newest_configuration(load_report& report, subscriber_list const& ranked) const -> void;
+    [[nodiscard]] auto is_draining(load_report const& report) const -> bool;
     auto is_due(load_report const& report, time_point now) -> bool;
 
     datagram_socket socket_;
--- a/include/hibiscuswall/serving/load_datagram.hpp
+++ b/include/hibiscuswall/serving/load_datagram.hpp
@@ -30,6 +30,9 @@
     std::uint64_t records_revision = 0;      // newest change of an endpoint's record known to the subscriber
     milliseconds weights_age{0};             // since a process is known to have received that declaration
     std::uint64_t configuration_version = 0; // in force at the subscriber; 0: none
+    // Start of the run of the agent's engine that the store says is draining; 0: none, or a run without a
+    // start time, which cannot be told from the next one at the same address.
+    std::uint64_t draining_run_ms = 0;
 };
 
 // A process whose configuration is newer than that of others, though its newest operator change may be older:
@@ -47,7 +50,7 @@
     double slowdown = 1;                   // relative to the declared speed of its service; above 1 is slower
     std::optional<loaded_weights> weights; // none if no weights are loaded
     bool paused = false;                   // the engine accepts no calls while it changes its weights
-    bool leaving = false;                  // the engine has announced that it will stop
+    bool leaving = false;                  // the engine will stop, as it or a subscriber has announced
     int subscriber_count = 0;              // number of entries subscribed to the agent
     std::vector<std::string> same_region_entries; // names of the subscribers in the engine's region, sorted
     std::uint64_t operator_revision = 0;          // newest operator change known to any subscriber
--- a/src/daemon/direct_entry.cpp
+++ b/src/daemon/direct_entry.cpp
@@ -276,6 +276,7 @@
         if (record) {
             endpoints.add_or_update(record.value(), clock::now());
             state = record.value().draining ? "draining" : "ready";
+            if (record.value().draining) loads.announce_draining(id);
         } else {
             // An entry that cannot be read names no endpoint to use, whatever it was before.
             endpoints.remove(id, store_was_unavailable && !change.value, clock::now());
--- a/src/fleet/load_report_receiver.cpp
+++ b/src/fleet/load_report_receiver.cpp
@@ -2,9 +2,10 @@
 
 #include "hibiscuswall/core/sleep.hpp"
 #include "hibiscuswall/observe/background.hpp"
+#include "hibiscuswall/observe/log.hpp"
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 namespace hibiscuswall {
 namespace {
@@ -79,6 +80,7 @@
     auto const round_trip =
         microseconds{microseconds_of(now) - report.echoed_sent_at_us - report.subscription_age_us};
     auto const is_near = is_of_same_region(report);
+    log_departure(report);
     endpoints_.on_load_report(report, round_trip, now);
     declared_state_.on_peer_knows({report.weights_revision, report.weights_age}, now);
     if (report.weights_revision > 0) weights_peers_.on_reported(agent, report.weights_revision, is_near, now);
@@ -90,6 +92,17 @@
     if (on_load_report_) on_load_report_();
 }
 
+auto load_report_receiver::log_departure(load_report const& report) const -> void
+{
+    if (!report.leaving) return;
+    auto const endpoint = endpoints_.find_run(report.where, report.started_at_ms);
+    if (endpoint == nullptr || endpoint->leaving) return;
+    log_event(log_level::info, "endpoint_leaves",
+              {{"endpoint", endpoint->record.id},
+               {"source", "load_report"},
+               {"known_from_record", endpoint->record.draining ? "1" : "0"}});
+}
+
 // Only engines have agents. An engine without weights is known by its service.
 auto load_report_receiver::has_agent(tracked_endpoint const& endpoint) const -> bool
 {
@@ -99,23 +112,55 @@
     return service != nullptr && service->engine.has_value();
 }
 
+auto load_report_receiver::current_subscription(time_point now) const -> subscription
+{
+    auto const weights = declared_state_.newest_weights(now);
+    auto message = subscription{};
+    message.entry = self_.name;
+    message.region = self_.region;
+    message.operator_revision = declared_state_.revision();
+    message.weights_revision = weights.revision;
+    message.shed_level = shed_level_source_ ? shed_level_source_() : 0.0;
+    message.sent_at_us = microseconds_of(now);
+    message.records_revision = records_revision_source_ ? records_revision_source_() : 0;
+    message.weights_age = weights.age;
+    message.configuration_version = declared_state_.offered_configuration_version();
+    return message;
+}
+
+auto load_report_receiver::send_subscription(subscription const& message, std::string const& agent_ip) -> void
+{
+    socket_.send(encode(message), to_endpoint({agent_ip, self_.control_address.port}));
+}
+
+auto load_report_receiver::announce_draining(std::string const& endpoint_id) -> void
+{
+    auto const found = endpoints_.all().find(endpoint_id);
+    if (found == endpoints_.all().end()) return;
+    auto const& endpoint = *found->second;
+    if (!endpoint.assigned || !has_agent(endpoint)) return;
+    auto message = current_subscription(clock::now());
+    message.draining_run_ms = endpoint.record.started_at_ms;
+    send_subscription(message, endpoint.record.where.ip);
+}
+
 auto load_report_receiver::subscribe() -> asio::awaitable<void>
 {
     while (true) {
-        auto const now = clock::now();
-        auto const weights = declared_state_.newest_weights(now);
-        auto const bytes =
-            encode(subscription{self_.name, self_.region, declared_state_.revision(), weights.revision,
-                                shed_level_source_ ? shed_level_source_() : 0.0, microseconds_of(now),
-                                records_revision_source_ ? records_revision_source_() : 0, weights.age,
-                                declared_state_.offered_configuration_version()});
-        auto agents = std::set<std::string>{};
-        for (auto const& [id, endpoint] : endpoints_.all())
-            if (endpoint->assigned && has_agent(*endpoint)) agents.insert(endpoint->record.where.ip);
-        for (auto const& ip : agents)
-            socket_.send(bytes, to_endpoint({ip, self_.control_address.port}));
-        auto const interval = agents.size() > many_agents ? many_subscribe_interval : subscribe_interval;
-        co_await sleep_for(agents.empty() ? subscribe_interval / 4 : interval);
+        auto message = current_subscription(clock::now());
+        auto draining_runs = std::map<std::string, std::uint64_t>{}; // by the agent's IP; 0: none drains
+        for (auto const& [id, endpoint] : endpoints_.all()) {
+            if (!endpoint->assigned || !has_agent(*endpoint)) continue;
+            auto& run = draining_runs[endpoint->record.where.ip];
+            if (endpoint->record.draining) run = std::max(run, endpoint->record.started_at_ms);
+        }
+        for (auto const& [ip, run] : draining_runs) {
+            message.draining_run_ms = run;
+            send_subscription(message, ip);
+        }
+        auto const has_many = draining_runs.size() > many_agents;
+        auto const interval = has_many ? many_subscribe_interval : subscribe_interval;
+        co_await sleep_for(draining_runs.empty() ? subscribe_interval / 4 : interval);
     }
 }
 
--- a/src/fleet/load_report_sender.cpp
+++ b/src/fleet/load_report_sender.cpp
@@ -118,6 +118,16 @@
         if (agent.name != self_.name) socket_.send(bytes, to_endpoint(agent.control_address));
 }
 
+// The entry that gets the engine's record first tells the others through this agent: their own watches gather
+// changes, or wait behind a configuration on a full link.
+auto load_report_sender::is_draining(load_report const& report) const -> bool
+{
+    if (report.started_at_ms == 0) return false;
+    return std::any_of(subscribers_.begin(), subscribers_.end(), [&](auto const& each) {
+        return each.second.latest.draining_run_ms == report.started_at_ms;
+    });
+}
+
 // While the engine is idle, nothing changes from one report to the next.
 auto load_report_sender::is_due(load_report const& report, time_point now) -> bool
 {
@@ -138,6 +148,7 @@
 {
     std::erase_if(subscribers_,
                   [&](auto const& each) { return now - each.second.received_at > subscription_lifetime; });
+    report.leaving = report.leaving || is_draining(report);
     if (!is_due(report, now)) return;
     report.subscriber_count = static_cast<int>(subscribers_.size());
     set_most_current_peer(report, now);
--- a/src/serving/load_datagram.cpp
+++ b/src/serving/load_datagram.cpp
@@ -25,6 +25,7 @@
 constexpr auto subscription_records_field = std::size_t{7};
 constexpr auto subscription_weights_age_field = std::size_t{8};
 constexpr auto subscription_configuration_field = std::size_t{9};
+constexpr auto subscription_draining_field = std::size_t{10};
 // Ranges of quarantine records. One segment with the longest names and most marks fits into a datagram.
 constexpr auto max_name_bytes = std::size_t{256}; // of an entry, a model or a segment
 constexpr auto max_marks = std::size_t{16};       // of one segment
@@ -86,6 +87,8 @@
         decoded.weights_age = age_from(message[subscription_weights_age_field]);
     if (message.size() > subscription_configuration_field)
         decoded.configuration_version = revision_from(message[subscription_configuration_field]);
+    if (message.size() > subscription_draining_field)
+        decoded.draining_run_ms = integer_from<std::uint64_t>(message[subscription_draining_field]);
     return decoded;
 }
 
@@ -210,7 +213,7 @@
     return to_bytes(
         json::array({subscription_tag, message.entry, message.operator_revision, message.sent_at_us,
                      message.region, message.weights_revision, message.shed_level, message.records_revision,
-                     message.weights_age.count(), message.configuration_version}));
+                     message.weights_age.count(), message.configuration_version, message.draining_run_ms}));
 }
 
 auto encode(load_report const& message) -> std::string
--- a/tests/unit/load_datagram_test.cpp
+++ b/tests/unit/load_datagram_test.cpp
@@ -60,7 +60,7 @@
     STRCMP_EQUAL("10.0.0.8:7700", report.newest_configuration->peer.text().c_str());
 
     auto const subscribed =
-        decode_datagram(encode(subscription{"e1", "north", 7, 5, 0.25, 123, 31, milliseconds{40}, 12}));
+        decode_datagram(encode(subscription{"e1", "north", 7, 5, 0.25, 123, 31, milliseconds{40}, 12, 77}));
     STRCMP_EQUAL("north", std::get<subscription>(*subscribed).region.c_str());
     CHECK_EQUAL(7U, std::get<subscription>(*subscribed).operator_revision);
     CHECK_EQUAL(5U, std::get<subscription>(*subscribed).weights_revision);
@@ -68,6 +68,7 @@
     CHECK_EQUAL(31U, std::get<subscription>(*subscribed).records_revision);
     CHECK_EQUAL(40, std::get<subscription>(*subscribed).weights_age.count());
     CHECK_EQUAL(12U, std::get<subscription>(*subscribed).configuration_version);
+    CHECK_EQUAL(77U, std::get<subscription>(*subscribed).draining_run_ms);
     DOUBLES_EQUAL(0.25, std::get<subscription>(*subscribed).shed_level, 1e-9);
 
     auto const holdings = decode_datagram(encode(chunk_holdings{"10.0.0.2", 2, "ff"}));
