Let the other endpoint have its time where there is nothing to stay with

Found by reading the takeover once more: where the engine that a stream was to leave failed while another one was asked, its held events still ended the takeover after 0.8 of the target gap, as if the stream could stay.

The bound now holds only while the stream can stay; else the other endpoint has the time of a first event.

--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -170,7 +170,8 @@
 {
     auto const& takeover = *call.takeover;
     if (takeover.state != takeover_state::asked) return;
-    if (!call.held_events.empty() && now >= takeover.hold_until)
+    auto const can_stay = call.connection != nullptr; // else the stream has broken off there
+    if (can_stay && !call.held_events.empty() && now >= takeover.hold_until)
         return stop_takeover(call, "no event before the caller would notice");
     if (now - takeover.asked_at < settings_.stalls.first_event_timeout) return;
     endpoint_table::record_failure(*takeover.endpoint, now);
--- a/tests/integration/moved_streams_test.cpp
+++ b/tests/integration/moved_streams_test.cpp
@@ -157,6 +157,15 @@
         return entry.log_text();
     }
 
+    // The event after which one of the endpoints was asked to resume a stream; 0: none was.
+    static auto resumed_after(std::vector<scripted_endpoint*> const& endpoints)->int
+    {
+        for (auto* endpoint : endpoints)
+            for (auto const& request : endpoint->requests())
+                if (is_resumed(request)) return std::stoi(request.header("last-event-id"));
+        return 0;
+    }
+
     // A stream of the first of two such endpoints, which is moved because its engine changes its weights.
     auto ask_moved_stream(scripted_endpoint::respond_function const& respond)->partial_response
     {
@@ -232,14 +241,7 @@
     auto two = scripted_endpoint{respond};
     start_with_engines({&one, &two});
     auto const response = ask_stream_and_pause_its_engine({&one, &two});
-    auto const resumed = [&] {
-        auto all = one.requests();
-        for (auto const& each : two.requests())
-            all.push_back(each);
-        for (auto const& each : all)
-            if (is_resumed(each)) return std::stoi(each.header("last-event-id"));
-        return 0;
-    }();
+    auto const resumed = resumed_after({&one, &two});
     CHECK(resumed > 0);
     check_complete(response, events(1, resumed) + events(resumed + 1, 60, "other"));
 }
@@ -316,6 +318,33 @@
     CHECK(std::stoi(log.substr(log.find(field) + field.size())) < 300); // targetGapMs of the route
 }
 
+// Guards against a stream that is broken off because the engine that it is to leave fails while another one
+// is asked: there is nothing to stay with, so that the other one has its time.
+TEST(moved_streams, a_stream_whose_engine_fails_while_another_is_asked_waits_for_the_other)
+{
+    auto const respond = [](auto const& request) {
+        auto response = scripted_response{stream_head(request)};
+        if (is_resumed(request)) {
+            auto const next = std::stoi(request.header("last-event-id")) + 1;
+            response.late_bytes = chunk(events(next, 60, "other")) + end_of_chunks;
+            response.late_delay = milliseconds{500};
+            return response;
+        }
+        response.repeat_interval = milliseconds{40};
+        for (auto i = 1; i <= 24; ++i) // for a second: another endpoint is asked meanwhile
+            response.pieces.push_back(chunk(events(i, i)));
+        response.close = true;
+        return response;
+    };
+    auto one = scripted_endpoint{respond};
+    auto two = scripted_endpoint{respond};
+    start_with_engines({&one, &two});
+    auto const response = ask_stream_and_pause_its_engine({&one, &two});
+    auto const resumed = resumed_after({&one, &two});
+    CHECK(resumed > 0);
+    check_complete(response, events(1, resumed) + events(resumed + 1, 60, "other"));
+}
+
 // Guards against a stream that is broken off because its endpoint was silent for a while and another one
 // rejects it.
 TEST(moved_streams, a_silent_endpoint_goes_on_with_its_stream_if_another_rejects_it)
