Count no comment as progress of the endpoint that sends it

Only the time of the write itself is left out now. The test passes again, and moved_streams.a_stream_stays_with_its_endpoint_while_the_caller_does_not_read as well.

--- a/src/serving/call_takeover.cpp
+++ b/src/serving/call_takeover.cpp
@@ -242,13 +242,14 @@
 
 // ---- the caller's events
 
-// The endpoint cannot make progress while the caller does not read.
+// The endpoint cannot make progress while the caller does not read: that time does not count as its silence.
 auto call_relay::write_to_caller(relayed_call& call, std::string_view events) -> asio::awaitable<bool>
 {
+    auto const begun_at = clock::now();
     call.waits_for_caller = true;
     auto const written = co_await call.out.write(events);
     call.waits_for_caller = false;
-    call.last_progress_at = clock::now();
+    call.last_progress_at += clock::now() - begun_at;
     co_return written;
 }
 
